--- /dev/null
+++ b/src/base/clock.ts
@@ -0,0 +1,17 @@
+import { performance } from 'node:perf_hooks';
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** Steady time in milliseconds. Injected everywhere a decision depends on time, so that traces replay. */
+export type Clock = () => number;
+
+export const steadyClock: Clock = () => performance.now();
+
+/** Waits, and returns early without an error when the signal fires: callers look at the signal themselves. */
+export async function sleep(ms: number, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return;
+  try {
+    await delay(ms, undefined, { signal });
+  } catch {
+    // The only way this rejects is the abort that the caller checks for.
+  }
+}
--- /dev/null
+++ b/src/base/http.ts
@@ -0,0 +1,68 @@
+import { Agent, request } from 'node:http';
+import { decode, encode } from '../wire/codec.js';
+
+export interface Answer {
+  status: number;
+  body: unknown;
+}
+
+export interface ExchangeOptions {
+  timeoutMs: number;
+  signal?: AbortSignal | undefined;
+}
+
+/** One peer reached over kept-alive connections. A failed exchange rejects: its outcome is unknown. */
+export class HttpPeer {
+  private readonly agent: Agent;
+  private readonly host: string;
+  private readonly port: number;
+
+  constructor(address: string, sockets: number) {
+    const colon = address.lastIndexOf(':');
+    this.host = address.slice(0, colon);
+    this.port = Number(address.slice(colon + 1));
+    this.agent = new Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets });
+  }
+
+  exchange(method: string, path: string, body: unknown, options: ExchangeOptions): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const payload = body === undefined ? undefined : encode(body);
+      const headers =
+        payload === undefined
+          ? {}
+          : { 'content-type': 'application/msgpack', 'content-length': payload.length };
+      const call = request({ host: this.host, port: this.port, method, path, headers, agent: this.agent });
+      // The deadline covers the whole exchange, since a cut swallows packets without an error.
+      const timer = setTimeout(() => call.destroy(new Error('no answer in time')), options.timeoutMs);
+      const onAbort = (): void => void call.destroy(new Error('cancelled'));
+      options.signal?.addEventListener('abort', onAbort, { once: true });
+      const settle = (finish: () => void): void => {
+        clearTimeout(timer);
+        options.signal?.removeEventListener('abort', onAbort);
+        finish();
+      };
+      call.on('error', (error) => settle(() => reject(error)));
+      call.on('response', (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', (error) => settle(() => reject(error)));
+        response.on('aborted', () => settle(() => reject(new Error('connection lost'))));
+        response.on('end', () =>
+          settle(() => {
+            try {
+              const bytes = Buffer.concat(chunks);
+              resolve({ status: response.statusCode ?? 0, body: bytes.length ? decode(bytes) : undefined });
+            } catch (error) {
+              reject(error instanceof Error ? error : new Error(String(error)));
+            }
+          }),
+        );
+      });
+      call.end(payload);
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/intake/admission.ts
@@ -0,0 +1,25 @@
+import { type JobSpec, type MachineType, withinLimit } from '../model/types.js';
+import type { Team } from '../settings/settings.js';
+
+/** Why a well-formed job can never run, or undefined where it can. */
+export function whyImpossible(
+  job: JobSpec,
+  types: Iterable<MachineType>,
+  teams: ReadonlyMap<string, Team>,
+): string | undefined {
+  const team = teams.get(job.team);
+  if (!team) return 'unknown team';
+  if (!withinLimit(0, job.cpus, team.cpusMax)) return "one task needs more CPUs than the team's limit";
+  if (!withinLimit(0, job.accelerators, team.acceleratorsMax)) {
+    return "one task needs more accelerators than the team's limit";
+  }
+  const fitsSome = [...types].some(
+    (type) =>
+      (job.types === null || job.types.includes(type.name)) &&
+      (job.zone === null || type.zones.includes(job.zone)) &&
+      job.cpus <= type.cpus &&
+      job.accelerators <= type.accelerators &&
+      job.memoryGb <= type.memoryGb,
+  );
+  return fitsSome ? undefined : 'a task fits no allowed machine type';
+}
--- /dev/null
+++ b/src/intake/intake.ts
@@ -0,0 +1,218 @@
+import type { Clock } from '../base/clock.js';
+import type { Log } from '../base/log.js';
+import type { Reply, Route } from '../base/web.js';
+import type { MachineType } from '../model/types.js';
+import type { Settings } from '../settings/settings.js';
+import type { StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Mirror } from '../store/mirror.js';
+import { type JobStatus, isJobId, jobAnswer, jobDetails, parseJob } from '../wire/jobs.js';
+import {
+  type End,
+  endKey,
+  endRecord,
+  jobKey,
+  parseEnd,
+  parseJobRecord,
+  parseRunPage,
+  runKey,
+  tasksPerPage,
+} from '../wire/records.js';
+import type { Condition } from '../wire/state.js';
+import { whyImpossible } from './admission.js';
+import { RecentIds } from './recent.js';
+
+export interface IntakePorts {
+  clock: Clock;
+  wallClock: () => number;
+  log: Log;
+  settings: Settings;
+  store: StoreClient;
+  mirror: Mirror;
+  /** Submissions and cancels. */
+  writes: CommitStage;
+  /** Compare-only commits that confirm what users are told. */
+  confirms: CommitStage;
+  types: () => ReadonlyMap<string, MachineType>;
+  isUp: () => boolean;
+}
+
+/** Open jobs that a controller keeps track of, per MB of its memory. */
+const openJobsPerMb = 20;
+const retrySoonS = 1;
+const retryOverloadS = 3;
+
+/** What an outside answer rests on: the store's word, never the mirror's alone. */
+type Standing =
+  { kind: 'ended'; end: End; tasks: number } | { kind: 'open' } | { kind: 'none' } | { kind: 'unsure' };
+
+export class Intake {
+  private readonly cancels: RecentIds;
+
+  constructor(private readonly ports: IntakePorts) {
+    this.cancels = new RecentIds(ports.settings.cancelMs, ports.clock);
+  }
+
+  readonly routes: Route[] = [
+    { method: 'POST', path: /^\/v2\/runs$/, handle: (body) => this.submit(body) },
+    { method: 'GET', path: /^\/v2\/runs\/([^/]+)$/, handle: (_body, [id = '']) => this.query(id) },
+    { method: 'POST', path: /^\/v2\/runs\/([^/]+)\/cancel$/, handle: (_body, [id = '']) => this.cancel(id) },
+    { method: 'GET', path: /^\/up$/, handle: () => ({ status: this.ports.isUp() ? 200 : 503 }) },
+  ];
+
+  /** For the peers: a leader that has lost the store learns from them what users were told is cancelled. */
+  recentlyCancelled(): string[] {
+    return this.cancels.list();
+  }
+
+  private async submit(body: unknown): Promise<Reply> {
+    const { mirror, settings, store, writes, types, wallClock } = this.ports;
+    const job = parseJob(body, wallClock());
+    if (typeof job === 'string') return { status: 400, body: { error: job } };
+    if (mirror.version(jobKey(job.id)) > 0 || mirror.get(endKey(job.id))) return this.known(job.id);
+    if (types().size === 0 || !mirror.ready) return trouble('not ready');
+    const impossible = whyImpossible(job, types().values(), settings.teams);
+    if (impossible !== undefined) {
+      // A repeated submission of an accepted job must never get 422, whatever the types are by now.
+      const standing = await this.standing(job.id);
+      if (standing.kind === 'none') return { status: 422, body: { error: impossible } };
+      return standing.kind === 'unsure' ? trouble('state service') : this.known(job.id);
+    }
+    if (store.failing) return trouble('state service');
+    if (writes.full || this.openJobs() > settings.quota.memoryMb * openJobsPerMb) {
+      return { status: 429, body: { error: 'overloaded' }, retryAfterS: retryOverloadS };
+    }
+    const outcome = await writes.commit(
+      [
+        { key: jobKey(job.id), version: 0 },
+        { key: endKey(job.id), version: 0 },
+      ],
+      [{ put: jobKey(job.id), value: job }],
+    );
+    if (outcome.kind === 'applied') return { status: 201, body: jobAnswer(job.id, 'pending') };
+    if (outcome.kind === 'conflict') return this.known(job.id);
+    return trouble('state service');
+  }
+
+  private async known(id: string): Promise<Reply> {
+    const standing = await this.standing(id);
+    if (standing.kind === 'ended') return { status: 200, body: jobAnswer(id, standing.end) };
+    if (standing.kind === 'open') return { status: 200, body: jobAnswer(id, this.progress(id).status) };
+    return trouble('state service');
+  }
+
+  private async query(id: string): Promise<Reply> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    const standing = await this.standing(id);
+    switch (standing.kind) {
+      case 'ended':
+        return {
+          status: 200,
+          body: jobDetails(id, standing.end, standing.end === 'done' ? standing.tasks : 0, 0),
+        };
+      case 'open': {
+        const { status, done, running } = this.progress(id);
+        return { status: 200, body: jobDetails(id, status, done, running) };
+      }
+      case 'none':
+        return { status: 404, body: { error: 'no such job' } };
+      case 'unsure':
+        return trouble('state service');
+    }
+  }
+
+  private async cancel(id: string): Promise<Reply> {
+    const { mirror, store, writes } = this.ports;
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    const known = parseEnd(mirror.get(endKey(id))?.value);
+    if (known) return { status: 200, body: jobAnswer(id, known.end) };
+    if (store.failing) return trouble('state service');
+    // Cancels keep their room: they are taken even where submissions no longer are.
+    let jobVersion = mirror.version(jobKey(id));
+    let tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.tasks ?? 0;
+    if (jobVersion === 0) {
+      try {
+        const item = await store.read(jobKey(id), 'intake');
+        jobVersion = item?.version ?? 0;
+        tasks = parseJobRecord(item?.value)?.tasks ?? 0;
+      } catch {
+        return trouble('state service');
+      }
+    }
+    if (jobVersion > 0) {
+      const outcome = await writes.commit(
+        [
+          { key: endKey(id), version: 0 },
+          { key: jobKey(id), version: jobVersion },
+        ],
+        [{ put: endKey(id), value: endRecord('cancelled', tasks) }, { drop: jobKey(id) }],
+      );
+      if (outcome.kind === 'applied') {
+        this.cancels.add(id);
+        mirror.learnEnd(endKey(id), { value: endRecord('cancelled', tasks), version: outcome.revision });
+        return { status: 200, body: jobAnswer(id, 'cancelled') };
+      }
+      if (outcome.kind !== 'conflict') return trouble('state service');
+    }
+    const standing = await this.standing(id);
+    if (standing.kind === 'ended') {
+      if (standing.end === 'cancelled') this.cancels.add(id);
+      return { status: 200, body: jobAnswer(id, standing.end) };
+    }
+    return standing.kind === 'none'
+      ? { status: 404, body: { error: 'no such job' } }
+      : trouble('state service');
+  }
+
+  /**
+   * Ends never change and may come from the mirror. That a job is still open, or was never accepted, another
+   * controller may have made untrue a moment ago: a compare-only commit asks the store.
+   */
+  private async standing(id: string): Promise<Standing> {
+    const { mirror, store, confirms } = this.ports;
+    const cached = parseEnd(mirror.get(endKey(id))?.value);
+    if (cached) return { kind: 'ended', ...cached };
+    if (store.failing || confirms.full || !mirror.ready) return { kind: 'unsure' };
+    const listed = mirror.version(jobKey(id)) > 0;
+    const conditions: Condition[] = [{ key: endKey(id), version: 0 }];
+    if (!listed) conditions.push({ key: jobKey(id), version: 0 });
+    const outcome = await confirms.commit(conditions, []);
+    if (outcome.kind === 'applied') return { kind: listed ? 'open' : 'none' };
+    if (outcome.kind !== 'conflict') return { kind: 'unsure' };
+    if (!outcome.failed.includes(endKey(id))) return { kind: 'open' };
+    try {
+      const item = await store.read(endKey(id), 'intake');
+      const end = parseEnd(item?.value);
+      if (!item || !end) return { kind: 'unsure' };
+      mirror.learnEnd(endKey(id), item);
+      return { kind: 'ended', ...end };
+    } catch {
+      return { kind: 'unsure' };
+    }
+  }
+
+  /** For display: it may lag behind the leader by a commit or two. */
+  private progress(id: string): { status: JobStatus; done: number; running: number } {
+    const { mirror, settings } = this.ports;
+    const tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.tasks ?? 0;
+    const pages = Math.ceil(tasks / tasksPerPage(settings.state.valueBytes));
+    let done = 0;
+    let running = 0;
+    for (let index = 0; index < pages; index++) {
+      const page = parseRunPage(mirror.get(runKey(id, index))?.value);
+      if (!page) continue;
+      running += page.active.length;
+      for (let i = 0; i + 1 < page.done.length; i += 2)
+        done += (page.done[i + 1] ?? 0) - (page.done[i] ?? 0) + 1;
+    }
+    return { status: running > 0 ? 'running' : 'pending', done, running };
+  }
+
+  private openJobs(): number {
+    return this.ports.mirror.size;
+  }
+}
+
+function trouble(error: string): Reply {
+  return { status: 503, body: { error }, retryAfterS: retrySoonS };
+}
--- /dev/null
+++ b/src/ladder/silence.ts
@@ -0,0 +1,30 @@
+import type { Settings } from '../settings/settings.js';
+import type { MachineState } from '../workers/machine-state.js';
+
+/** A zone in which more than this share of the machines falls silent at once has most likely lost its network. */
+const zoneShare = 0.7;
+
+/**
+ * Machines to be released because nothing is heard of them. One that falls silent among others that speak has most
+ * likely died, hangs or was taken, and a release proves it. Where nearly a whole zone falls silent the network is
+ * the likelier cause: its tasks may be running, so they are given until their leases have certainly run out.
+ */
+export function silentMachines(
+  machines: MachineState[],
+  now: number,
+  settings: Pick<Settings, 'reportMs' | 'leaseMs'>,
+  silentReports: number,
+): MachineState[] {
+  const limit = settings.reportMs * silentReports;
+  const leaseOver = settings.leaseMs + settings.reportMs;
+  // Machines that only the intents of an earlier term speak of count too: nothing else would ever prove them gone.
+  const known = machines.filter((m) => m.status !== 'releasing' && (m.everSeen || m.tasks.size > 0));
+  const silentFor = (m: MachineState): number => now - m.lastSeen;
+  const cutOff = (zone: string): boolean => {
+    const inZone = known.filter((m) => m.place.zone === zone);
+    const quiet = inZone.filter((m) => silentFor(m) > limit / 2).length;
+    return quiet > 2 && quiet > inZone.length * zoneShare;
+  };
+  const zones = new Map([...new Set(known.map((m) => m.place.zone))].map((zone) => [zone, cutOff(zone)]));
+  return known.filter((m) => silentFor(m) > (zones.get(m.place.zone) ? leaseOver : limit));
+}
--- /dev/null
+++ b/src/model/types.ts
@@ -0,0 +1,107 @@
+export type Urgency = 'production' | 'high' | 'standard' | 'best_effort';
+
+/** What a user asked for, as committed before the user was told that the job is accepted. */
+export interface JobSpec {
+  id: string;
+  jobClass: string;
+  team: string;
+  urgency: Urgency;
+  tasks: number;
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+  /** Time of day of acceptance in ms, for deadlines only: it may be off by the clocks' error. */
+  acceptedAt: number;
+}
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export interface TaskRef {
+  job: string;
+  index: number;
+}
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'ended' | 'other';
+
+export interface ReportedTask extends TaskRef {
+  attempt: number;
+  state: TaskState;
+  cause: string;
+}
+
+export interface Report {
+  machine: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: ReportedTask[];
+}
+
+export interface Order extends TaskRef {
+  kind: 'start' | 'stop' | 'forget';
+  attempt: number;
+  graceS?: number;
+}
+
+export interface CloudMachine {
+  id: string;
+  address: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+export function taskKey(task: TaskRef): string {
+  return `${task.job}/${task.index}`;
+}
+
+/** What a task takes of its machine and of its team's limit. */
+export interface Resources {
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+}
+
+// Amounts are decimals added up in any order, so sums may differ in their last bits.
+const slack = 1e-6;
+
+export function fits(need: Resources, free: Resources): boolean {
+  return (
+    need.cpus <= free.cpus + slack &&
+    need.accelerators <= free.accelerators + slack &&
+    need.memoryGb <= free.memoryGb + slack
+  );
+}
+
+/** A limit of 0 means that there is none. */
+export function withinLimit(used: number, more: number, limit: number): boolean {
+  return limit === 0 || used + more <= limit + slack;
+}
--- /dev/null
+++ b/src/peers/links.ts
@@ -0,0 +1,160 @@
+import { type Socket, createConnection, createServer } from 'node:net';
+import { Readable, Writable } from 'node:stream';
+import { pipeline } from 'node:stream/promises';
+import { PackrStream, UnpackrStream } from 'msgpackr';
+import type { Clock } from '../base/clock.js';
+import { sleep } from '../base/clock.js';
+import type { Log } from '../base/log.js';
+import { runRoutine } from '../base/routine.js';
+import type { PeerWord } from '../leadership/answering.js';
+import type { Settings } from '../settings/settings.js';
+
+/** What a controller tells the others of itself, twice a second. */
+export interface PeerStatus {
+  from: string;
+  boot: string;
+  serial: number;
+  /** How long it has been without the state service, in ms. */
+  contactAge: number;
+  /** Its token while it leads, else 0. */
+  token: number;
+  /** The last serial it has from the receiver in this life of the receiver, else 0. */
+  echo: number;
+  echoBoot: string;
+  /** Jobs it has lately confirmed as cancelled, for a leader that cannot see the store. */
+  cancelled: string[];
+}
+
+interface Heard {
+  boot: string;
+  serial: number;
+}
+
+export interface PeerPorts {
+  clock: Clock;
+  log: Log;
+  settings: Settings;
+  boot: string;
+  facts: () => { contactAge: number; token: number; cancelled: string[] };
+  onStatus: (status: PeerStatus) => void;
+}
+
+const statusEveryMs = 500;
+const remembered = 120;
+
+/**
+ * Links between controllers. Each status echoes the last serial number heard from its receiver, which dates it: a
+ * status that a cut held back and delivered late proves nothing about now.
+ */
+export class PeerLinks {
+  private serial = 0;
+  private readonly sentAt = new Map<number, number>();
+  private readonly heard = new Map<string, Heard>();
+  private readonly words = new Map<string, PeerWord>();
+
+  constructor(private readonly ports: PeerPorts) {}
+
+  word(label: string): PeerWord | undefined {
+    return this.words.get(label);
+  }
+
+  /** For the order of messages under test; the routines below call it for every status that arrives. */
+  receive(status: PeerStatus): void {
+    const { ports } = this;
+    if (!ports.settings.peers.some((p) => p.label === status.from)) return;
+    const last = this.heard.get(status.from);
+    if (last?.boot === status.boot && last.serial >= status.serial) return;
+    this.heard.set(status.from, { boot: status.boot, serial: status.serial });
+    const notBefore = status.echoBoot === ports.boot ? this.sentAt.get(status.echo) : undefined;
+    if (notBefore !== undefined) this.words.set(status.from, { notBefore, contactAge: status.contactAge });
+    ports.onStatus(status);
+  }
+
+  compose(to: string): PeerStatus {
+    const { settings, boot, facts, clock } = this.ports;
+    const heard = this.heard.get(to);
+    const serial = ++this.serial;
+    this.sentAt.set(serial, clock());
+    this.sentAt.delete(serial - remembered);
+    return {
+      from: settings.label,
+      boot,
+      serial,
+      echo: heard?.serial ?? 0,
+      echoBoot: heard?.boot ?? '',
+      ...facts(),
+    };
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { settings, log } = this.ports;
+    await Promise.all([
+      runRoutine('peer-server', signal, log, (s) => this.serve(s)),
+      ...settings.peers.map((peer) =>
+        runRoutine(
+          `peer-${peer.label}`,
+          signal,
+          log,
+          (s) => this.dial(peer.label, peer.address, s),
+          statusEveryMs,
+        ),
+      ),
+    ]);
+  }
+
+  private async serve(signal: AbortSignal): Promise<void> {
+    const { host, port } = splitAddress(this.ports.settings.peerOn);
+    const server = createServer((socket) => void this.listenTo(socket, signal));
+    server.maxConnections = this.ports.settings.controllers * 4;
+    await new Promise<void>((resolve, reject) => {
+      server.on('error', reject);
+      signal.addEventListener('abort', () => server.close(() => resolve()), { once: true });
+      server.listen(port, host);
+    });
+  }
+
+  private async listenTo(socket: Socket, signal: AbortSignal): Promise<void> {
+    // A link that has been silent for a while is dead; its sender dials again.
+    socket.setTimeout(statusEveryMs * 20, () => socket.destroy());
+    const handle = new Writable({
+      objectMode: true,
+      write: (status: PeerStatus, _encoding, done) => {
+        if (typeof status?.from === 'string' && Array.isArray(status.cancelled)) this.receive(status);
+        done();
+      },
+    });
+    await pipeline(socket, new UnpackrStream(), handle, { signal }).catch((error: unknown) =>
+      this.ports.log.debug({ event: 'peer-link-lost', err: error }, 'incoming peer link ended'),
+    );
+  }
+
+  private async dial(label: string, address: string, signal: AbortSignal): Promise<void> {
+    const { host, port } = splitAddress(address);
+    const socket = createConnection({ host, port });
+    socket.setTimeout(statusEveryMs * 20, () => socket.destroy());
+    try {
+      const statuses = Readable.from(this.statuses(label, socket, signal), {
+        objectMode: true,
+        highWaterMark: 1,
+      });
+      await pipeline(statuses, new PackrStream({ useRecords: false }), socket, { signal });
+    } catch (error) {
+      this.ports.log.debug({ event: 'peer-link-lost', peer: label, err: error }, 'outgoing peer link ended');
+    } finally {
+      socket.destroy();
+    }
+  }
+
+  private async *statuses(label: string, socket: Socket, signal: AbortSignal): AsyncGenerator<PeerStatus> {
+    while (!signal.aborted) {
+      // Nothing new is queued behind a cut: the peer would get it late and in bulk.
+      if (socket.writableLength < 4096) yield this.compose(label);
+      await sleep(statusEveryMs, signal);
+    }
+  }
+}
+
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
--- /dev/null
+++ b/src/placement/plan.ts
@@ -0,0 +1,136 @@
+import { type MachineType, type Resources, type Urgency, fits, withinLimit } from '../model/types.js';
+import type { Team } from '../settings/settings.js';
+import type { MachineState } from '../workers/machine-state.js';
+import type { JobState, Task } from './job-state.js';
+
+export interface PlanFacts {
+  now: number;
+  jobs: Iterable<JobState>;
+  machines: Iterable<MachineState>;
+  types: ReadonlyMap<string, MachineType>;
+  teams: ReadonlyMap<string, Team>;
+  usage: Usage;
+  /** How many tasks may be placed at most: what one round of commits can carry. */
+  most: number;
+  usable: (machine: MachineState) => boolean;
+}
+
+export interface Choice {
+  task: Task;
+  machine: MachineState;
+}
+
+/** What the tasks of each team take at the moment, in every state in which they may be on a machine. */
+export class Usage {
+  private readonly used = new Map<string, { cpus: number; accelerators: number }>();
+
+  of(team: string): { cpus: number; accelerators: number } {
+    let entry = this.used.get(team);
+    if (!entry) {
+      entry = { cpus: 0, accelerators: 0 };
+      this.used.set(team, entry);
+    }
+    return entry;
+  }
+
+  add(team: string, need: Resources, times = 1): void {
+    const entry = this.of(team);
+    entry.cpus += need.cpus * times;
+    entry.accelerators += need.accelerators * times;
+  }
+
+  admits(team: Team | undefined, need: Resources): boolean {
+    if (!team) return false;
+    const used = this.of(team.name);
+    return (
+      withinLimit(used.cpus, need.cpus, team.cpusMax) &&
+      withinLimit(used.accelerators, need.accelerators, team.acceleratorsMax)
+    );
+  }
+}
+
+const ranks: Record<Urgency, number> = { production: 0, high: 1, standard: 2, best_effort: 3 };
+
+/** More urgent first; among equals, whoever must start soonest to meet its deadline, then the oldest. */
+export function byOrderOfWork(a: JobState, b: JobState): number {
+  const x = a.spec;
+  const y = b.spec;
+  if (!x || !y) return x ? -1 : 1;
+  return (
+    ranks[x.urgency] - ranks[y.urgency] ||
+    latestStart(x) - latestStart(y) ||
+    (x.id < y.id ? -1 : x.id > y.id ? 1 : 0)
+  );
+}
+
+function latestStart(spec: { acceptedAt: number; deadlineS: number | null; estimateS: number }): number {
+  // Work without a deadline counts as due when its estimate has passed once over.
+  const dueS = spec.deadlineS ?? spec.estimateS;
+  return spec.acceptedAt + (dueS - spec.estimateS) * 1000;
+}
+
+/** First-fit: each waiting task, in the order of work, goes to the first machine that has room for it. */
+export function plan(facts: PlanFacts): Choice[] {
+  const choices: Choice[] = [];
+  const rooms = [...facts.machines]
+    .filter(facts.usable)
+    .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
+    .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined)
+    .map((m) => ({ ...m, free: m.machine.free(m.type) }))
+    .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
+  const waiting = [...facts.jobs]
+    .filter((job) => job.waiting > 0 && !job.ending && job.retryAt <= facts.now)
+    .sort(byOrderOfWork);
+  for (const job of waiting) {
+    const spec = job.spec;
+    const team = facts.teams.get(job.team);
+    if (!spec) continue;
+    const zones = zonesInUse(job, facts.machines);
+    const half = Math.ceil(spec.tasks / 2);
+    const candidates = rooms.filter(
+      ({ machine }) =>
+        (spec.types === null || spec.types.includes(machine.place.type)) &&
+        (spec.zone === null || spec.zone === machine.place.zone) &&
+        (spec.spot || !machine.place.spot),
+    );
+    // Cheap machines first for work that may use them; then a machine that has the image.
+    candidates.sort(
+      (a, b) =>
+        Number(b.machine.place.spot) - Number(a.machine.place.spot) ||
+        Number(b.machine.images.has(spec.image)) - Number(a.machine.images.has(spec.image)),
+    );
+    let left = job.waiting;
+    while (left > 0 && choices.length < facts.most && facts.usage.admits(team, job.need)) {
+      const room = candidates.find(
+        ({ machine, free }) =>
+          fits(job.need, free) &&
+          (!spec.spread || (zones.get(machine.place.zone) ?? 0) < half) &&
+          (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone)),
+      );
+      const task = room && job.next();
+      if (!room || !task) break;
+      job.place(task, room.machine.id, facts.now);
+      room.free.cpus -= job.need.cpus;
+      room.free.accelerators -= job.need.accelerators;
+      room.free.memoryGb -= job.need.memoryGb;
+      facts.usage.add(job.team, job.need);
+      zones.set(room.machine.place.zone, (zones.get(room.machine.place.zone) ?? 0) + 1);
+      choices.push({ task, machine: room.machine });
+      left--;
+    }
+    if (choices.length >= facts.most) break;
+  }
+  return choices;
+}
+
+/** Active tasks of the job by zone. */
+function zonesInUse(job: JobState, machines: Iterable<MachineState>): Map<string, number> {
+  const zones = new Map<string, number>();
+  if (!job.spec?.oneZone && !job.spec?.spread) return zones;
+  for (const machine of machines) {
+    for (const task of machine.tasks.values()) {
+      if (task.job === job) zones.set(machine.place.zone, (zones.get(machine.place.zone) ?? 0) + 1);
+    }
+  }
+  return zones;
+}
--- /dev/null
+++ b/src/settings/operator.ts
@@ -0,0 +1,51 @@
+import * as v from 'valibot';
+import { SettingsError } from './settings.js';
+
+const share = v.pipe(v.number(), v.gtValue(0), v.maxValue(1));
+const ratio = v.pipe(v.number(), v.gtValue(0));
+
+const schema = v.strictObject({
+  ladder: v.optional(
+    v.strictObject({
+      start: v.optional(share, 0.8),
+      target: v.optional(share, 0.01),
+      slotShare: v.optional(share, 0.125),
+      periodS: v.optional(ratio, 30),
+      windowS: v.optional(ratio, 300),
+    }),
+    {},
+  ),
+  leadership: v.optional(v.strictObject({ grantReports: v.optional(ratio, 1.6) }), {}),
+  workers: v.optional(
+    v.strictObject({ silentReports: v.optional(ratio, 3), bootTimes: v.optional(ratio, 3) }),
+    {},
+  ),
+});
+
+/** What operators may set beyond the platform's file. Every value is a ratio to a figure of that file. */
+export type OperatorSettings = v.InferOutput<typeof schema>;
+
+export const defaultOperatorSettings: OperatorSettings = v.parse(schema, {});
+
+/** The operators' file: `<shalekeel><ladder start="0.8"/></shalekeel>`. Unlike the platform's, it is strict. */
+export async function parseOperatorSettings(xml: string): Promise<OperatorSettings> {
+  // Loaded only when there is such a file: start-up is charged to the controller's share of a core.
+  const { XMLParser, XMLValidator } = await import('fast-xml-parser');
+  const valid = XMLValidator.validate(xml);
+  if (valid !== true) throw new SettingsError(`not valid XML: line ${valid.err.line}: ${valid.err.msg}`);
+  const parser = new XMLParser({
+    ignoreAttributes: false,
+    attributeNamePrefix: '',
+    parseAttributeValue: true,
+    ignoreDeclaration: true,
+  });
+  const root = parser.parse(xml) as Record<string, unknown>;
+  if (!('shalekeel' in root)) throw new SettingsError('the root element must be <shalekeel>');
+  const body = root['shalekeel'];
+  const result = v.safeParse(schema, body === '' ? {} : body);
+  if (!result.success) {
+    const issue = result.issues[0];
+    throw new SettingsError(`element ${v.getDotPath(issue) ?? 'shalekeel'}: ${issue.message}`);
+  }
+  return result.output;
+}
--- /dev/null
+++ b/src/store/client.ts
@@ -0,0 +1,194 @@
+import type { Clock } from '../base/clock.js';
+import { sleep } from '../base/clock.js';
+import { type Answer, HttpPeer } from '../base/http.js';
+import { Pacer } from '../base/pacer.js';
+import type { Settings } from '../settings/settings.js';
+import {
+  type Change,
+  type Condition,
+  type Item,
+  type Write,
+  commitBody,
+  grantBody,
+  grantPath,
+  keyPath,
+  listPath,
+  parseChanges,
+  parseCommit,
+  parseGrant,
+  parseList,
+  parseRead,
+  watchPath,
+} from '../wire/state.js';
+
+/**
+ * `refused`: certainly not executed. `unknown`: may have been executed, or may yet be, at any later time; whoever
+ * repeats it relies on its conditions.
+ */
+export type CommitOutcome =
+  | { kind: 'applied'; revision: number }
+  | { kind: 'conflict'; failed: string[]; revision: number }
+  | { kind: 'no-lease' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+
+export class StoreUnavailable extends Error {}
+
+/**
+ * `intake` carries what users wait for, `duty` all else, so that a burst of intents cannot make a submission late.
+ */
+export type Lane = 'intake' | 'duty';
+
+/** Shares of the limits, which hold for all controllers together; the whole stays below them. */
+const shares = {
+  requests: { intakeAll: 0.4, leaderDuty: 0.3, followersDuty: 0.2 },
+  writes: { intakeAll: 0.38, leaderDuty: 0.48, followersDuty: 0.04 },
+};
+const requestTimeoutMs = 1500;
+const watchHoldMs = 10_000;
+const listPage = 500;
+
+export class StoreClient {
+  private readonly peer: HttpPeer;
+  private readonly watchPeer: HttpPeer;
+  private readonly requests: Record<Lane, Pacer>;
+  private readonly writes: Record<Lane, Pacer>;
+  private contactAt: number;
+  private refusedAt = -Infinity;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly clock: Clock,
+    private readonly signal: AbortSignal,
+  ) {
+    this.peer = new HttpPeer(settings.stateAddress, 6);
+    this.watchPeer = new HttpPeer(settings.stateAddress, 1);
+    const pacers = (): Record<Lane, Pacer> => ({
+      intake: new Pacer(1, 1, clock),
+      duty: new Pacer(1, 1, clock),
+    });
+    this.requests = pacers();
+    this.writes = pacers();
+    this.contactAt = clock() - settings.cancelMs;
+    this.setLeading(false);
+  }
+
+  /** Each controller keeps to a share that depends on its role. */
+  setLeading(leading: boolean): void {
+    const { controllers, state } = this.settings;
+    const followers = Math.max(1, controllers - 1);
+    const set = (pacers: Record<Lane, Pacer>, rate: number, share: (typeof shares)['writes']): void => {
+      const intake = (rate * share.intakeAll) / controllers;
+      const duty = rate * (leading ? share.leaderDuty : share.followersDuty / followers);
+      pacers.intake.setRate(intake, Math.max(1, intake));
+      pacers.duty.setRate(duty, Math.max(2, duty));
+    };
+    set(this.requests, state.rps, shares.requests);
+    set(this.writes, state.writeRps, shares.writes);
+  }
+
+  /** When the last request that was served had been sent; what was true then is all that we know. */
+  get lastContact(): number {
+    return this.contactAt;
+  }
+
+  contactAge(now: number): number {
+    return now - this.contactAt;
+  }
+
+  /** True once the store has turned us away or stayed silent, until it serves us again. */
+  get failing(): boolean {
+    return this.refusedAt > this.contactAt;
+  }
+
+  async read(key: string, lane: Lane = 'duty'): Promise<Item | undefined> {
+    const answer = await this.call('GET', keyPath(key), undefined, lane);
+    if (answer.status === 404) return undefined;
+    if (answer.status !== 200) throw new StoreUnavailable(`read answered ${answer.status}`);
+    return parseRead(answer.body);
+  }
+
+  /** All items below a prefix, page by page, and the revision of the first page: changes since may be missing. */
+  async list(prefix: string): Promise<{ items: Item[]; revision: number }> {
+    const items: Item[] = [];
+    let after = '';
+    let revision: number | undefined;
+    for (;;) {
+      const answer = await this.call('GET', listPath(prefix, after, listPage), undefined);
+      if (answer.status !== 200) throw new StoreUnavailable(`list answered ${answer.status}`);
+      const page = parseList(answer.body);
+      revision ??= page.revision;
+      items.push(...page.items);
+      const last = page.items.at(-1);
+      if (!page.more || !last) return { items, revision };
+      after = last.key;
+    }
+  }
+
+  /** Waits for changes; undefined where the service no longer has them and the keys must be read again. */
+  async watch(since: number): Promise<{ changes: Change[]; revision: number } | undefined> {
+    await sleep(this.requests.duty.reserve(1), this.signal);
+    const answer = await this.watchPeer.exchange('GET', watchPath(since, watchHoldMs), undefined, {
+      timeoutMs: watchHoldMs * 2,
+      signal: this.signal,
+    });
+    if (answer.status === 410) return undefined;
+    if (answer.status !== 200) throw new StoreUnavailable(`watch answered ${answer.status}`);
+    return parseChanges(answer.body);
+  }
+
+  async commit(lane: Lane, conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
+    if (writes.length > 0) await sleep(this.writes[lane].reserve(writes.length), this.signal);
+    let answer: Answer;
+    try {
+      answer = await this.call('POST', '/commit', commitBody(conditions, writes), lane);
+    } catch {
+      return { kind: 'unknown' };
+    }
+    if (answer.status === 200) return { kind: 'applied', revision: parseCommit(answer.body).revision };
+    if (answer.status === 409) return { kind: 'conflict', ...parseCommit(answer.body) };
+    if (answer.status === 400) return { kind: 'no-lease' };
+    return answer.status === 429 || answer.status === 503 ? { kind: 'refused' } : { kind: 'unknown' };
+  }
+
+  async grant(ttlMs: number): Promise<number> {
+    const answer = await this.call('POST', '/grants', grantBody(ttlMs));
+    if (answer.status !== 200) throw new StoreUnavailable(`grant answered ${answer.status}`);
+    return parseGrant(answer.body);
+  }
+
+  /** True: renewed. False: the grant has ended. Throws where nothing is known. */
+  async touch(id: number): Promise<boolean> {
+    // Renewals jump the queue: a leader busy with commits must not lose its grant over it.
+    this.requests.duty.reserve(1);
+    const answer = await this.send('POST', `${grantPath(id)}/touch`, {});
+    if (answer.status === 404) return false;
+    if (answer.status !== 200) throw new StoreUnavailable(`touch answered ${answer.status}`);
+    return true;
+  }
+
+  async endGrant(id: number): Promise<void> {
+    await this.call('DELETE', grantPath(id), undefined);
+  }
+
+  private async call(method: string, path: string, body: unknown, lane: Lane = 'duty'): Promise<Answer> {
+    await sleep(this.requests[lane].reserve(1), this.signal);
+    return this.send(method, path, body);
+  }
+
+  private async send(method: string, path: string, body: unknown): Promise<Answer> {
+    const sentAt = this.clock();
+    try {
+      const answer = await this.peer.exchange(method, path, body, {
+        timeoutMs: requestTimeoutMs,
+        signal: this.signal,
+      });
+      if (answer.status === 503) this.refusedAt = this.clock();
+      else this.contactAt = Math.max(this.contactAt, sentAt);
+      return answer;
+    } catch (error) {
+      this.refusedAt = this.clock();
+      throw error;
+    }
+  }
+}
--- /dev/null
+++ b/src/store/commit-stage.ts
@@ -0,0 +1,121 @@
+import { Writable } from 'node:stream';
+import { sleep } from '../base/clock.js';
+import type { Settings } from '../settings/settings.js';
+import { sizeOf } from '../wire/codec.js';
+import type { Condition, Write } from '../wire/state.js';
+import type { CommitOutcome, Lane, StoreClient } from './client.js';
+
+interface Operation {
+  conditions: Condition[];
+  writes: Write[];
+  bytes: number;
+  settle: (outcome: CommitOutcome) => void;
+}
+
+// Room left in a transaction for its own framing.
+const transactionBytes = 60 * 1024;
+const conditionsPerOperation = 4;
+
+/**
+ * Group commit: what arrives while one transaction is on its way goes out together in the next. The stream's
+ * buffer is the stage's bound; a stage that is `full` holds back whoever feeds it.
+ */
+export class CommitStage extends Writable {
+  constructor(
+    private readonly client: Pick<StoreClient, 'commit'>,
+    private readonly lane: Lane,
+    private readonly settings: Settings,
+    private readonly signal: AbortSignal,
+    bound: number,
+  ) {
+    super({ objectMode: true, highWaterMark: bound });
+  }
+
+  get full(): boolean {
+    return this.writableLength >= this.writableHighWaterMark;
+  }
+
+  commit(conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
+    return new Promise((settle) => {
+      const bytes = sizeOf(conditions) + sizeOf(writes);
+      this.write({ conditions, writes, bytes, settle } satisfies Operation);
+    });
+  }
+
+  override _writev(chunks: { chunk: Operation }[], done: (error?: Error | null) => void): void {
+    this.flush(chunks.map((c) => c.chunk)).then(
+      () => done(),
+      (error: unknown) => done(error instanceof Error ? error : new Error(String(error))),
+    );
+  }
+
+  private async flush(operations: Operation[]): Promise<void> {
+    let queue = operations;
+    while (queue.length > 0) {
+      if (this.signal.aborted) {
+        for (const operation of queue) operation.settle({ kind: 'refused' });
+        return;
+      }
+      const { batch, rest } = takeBatch(queue, this.settings.state.txnOps);
+      const outcome = await this.client.commit(
+        this.lane,
+        batch.flatMap((o) => o.conditions),
+        batch.flatMap((o) => o.writes),
+      );
+      queue = rest;
+      if (outcome.kind === 'conflict' && batch.length > 1) {
+        // One operation's conflict must not fail its neighbours: they go again without it.
+        const failed = new Set(outcome.failed);
+        const conflicting = batch.filter((o) => o.conditions.some((c) => failed.has(c.key)));
+        for (const operation of conflicting) operation.settle(outcome);
+        queue = [...batch.filter((o) => !conflicting.includes(o)), ...rest];
+        if (conflicting.length === 0) {
+          for (const operation of batch) operation.settle({ kind: 'unknown' });
+          queue = rest;
+        }
+        continue;
+      }
+      for (const operation of batch) operation.settle(outcome);
+      if (outcome.kind === 'refused') await sleep(1000 / this.settings.state.rps, this.signal);
+    }
+  }
+}
+
+/** The longest run of operations that one transaction can hold; a key is conditioned and written only once. */
+export function takeBatch<O extends Pick<Operation, 'conditions' | 'writes' | 'bytes'>>(
+  queue: O[],
+  txnOps: number,
+): { batch: O[]; rest: O[] } {
+  const batch: O[] = [];
+  const rest: O[] = [];
+  const versions = new Map<string, number>();
+  const written = new Set<string>();
+  let writes = 0;
+  let bytes = 0;
+  for (const operation of queue) {
+    const fresh = operation.conditions.filter((c) => !versions.has(c.key)).length;
+    const clash =
+      operation.conditions.some(
+        (c) => (versions.get(c.key) ?? c.version) !== c.version || written.has(c.key),
+      ) || operation.writes.some((w) => written.has(writtenKey(w)) || versions.has(writtenKey(w)));
+    const room =
+      writes + operation.writes.length <= txnOps &&
+      versions.size + fresh <= txnOps * conditionsPerOperation &&
+      bytes + operation.bytes <= transactionBytes;
+    // An operation too large for any transaction still goes out, alone, and is refused by the service.
+    if (batch.length > 0 && (clash || !room || rest.length > 0)) {
+      rest.push(operation);
+      continue;
+    }
+    batch.push(operation);
+    for (const c of operation.conditions) versions.set(c.key, c.version);
+    for (const w of operation.writes) written.add(writtenKey(w));
+    writes += operation.writes.length;
+    bytes += operation.bytes;
+  }
+  return { batch, rest };
+}
+
+export function writtenKey(write: Write): string {
+  return 'drop' in write ? write.drop : write.put;
+}
--- /dev/null
+++ b/src/store/mirror.ts
@@ -0,0 +1,139 @@
+import { Readable, Writable } from 'node:stream';
+import { pipeline } from 'node:stream/promises';
+import { sleep } from '../base/clock.js';
+import type { Change } from '../wire/state.js';
+import type { StoreClient } from './client.js';
+
+export interface Entry {
+  value: unknown;
+  version: number;
+}
+
+export type ChangeListener = (changes: Change[]) => void;
+
+/** What is listed at start. Ends are not: there is one for every job that ever was, so they are read on demand. */
+const listedPrefixes = ['lead', 'block/', 'ladder/', 'job/', 'run/'];
+const endsKept = 20_000;
+
+/** A copy of the store's keys that lags a little behind it. Nothing a user is told rests on it alone. */
+export class Mirror {
+  private entries = new Map<string, Entry>();
+  private ends = new Map<string, Entry>();
+  private at = 0;
+  private loaded = false;
+  private readonly listeners = new Set<ChangeListener>();
+
+  constructor(
+    private readonly client: Pick<StoreClient, 'list' | 'watch'>,
+    private readonly gapMs: number,
+  ) {}
+
+  get ready(): boolean {
+    return this.loaded;
+  }
+
+  /** All changes up to this revision are in the copy. */
+  get revision(): number {
+    return this.at;
+  }
+
+  /** Keys in the copy, ends not counted. */
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get(key: string): Entry | undefined {
+    return key.startsWith('end/') ? this.ends.get(key) : this.entries.get(key);
+  }
+
+  version(key: string): number {
+    return this.get(key)?.version ?? 0;
+  }
+
+  *below(prefix: string): Iterable<[string, Entry]> {
+    for (const pair of this.entries) if (pair[0].startsWith(prefix)) yield pair;
+  }
+
+  /** What we learned of an end other than by the watch; ends never change, so it may be kept. */
+  learnEnd(key: string, entry: Entry): void {
+    this.ends.set(key, entry);
+    if (this.ends.size > endsKept) {
+      const oldest = this.ends.keys().next();
+      if (!oldest.done) this.ends.delete(oldest.value);
+    }
+  }
+
+  listen(listener: ChangeListener): () => void {
+    this.listeners.add(listener);
+    return () => void this.listeners.delete(listener);
+  }
+
+  /** Reads everything once, then follows the changes until something fails; run it again to recover. */
+  async follow(signal: AbortSignal): Promise<void> {
+    await this.load();
+    const changes = Readable.from(this.changes(signal), { objectMode: true, highWaterMark: 1 });
+    const apply = new Writable({
+      objectMode: true,
+      highWaterMark: 1,
+      write: (batch: { changes: Change[]; revision: number }, _encoding, done) => {
+        this.apply(batch.changes, batch.revision);
+        done();
+      },
+    });
+    await pipeline(changes, apply, { signal });
+  }
+
+  private async load(): Promise<void> {
+    const entries = new Map<string, Entry>();
+    let since = Infinity;
+    for (const prefix of listedPrefixes) {
+      const { items, revision } = await this.client.list(prefix);
+      since = Math.min(since, revision);
+      for (const item of items) entries.set(item.key, { value: item.value, version: item.version });
+    }
+    const before = this.entries;
+    this.entries = entries;
+    this.at = since;
+    this.loaded = true;
+    this.notify(differences(before, entries));
+  }
+
+  private async *changes(signal: AbortSignal): AsyncGenerator<{ changes: Change[]; revision: number }> {
+    while (!signal.aborted) {
+      const next = await this.client.watch(this.at);
+      if (!next) return;
+      yield next;
+      // Under constant change every watch returns at once: the gap keeps it from eating our share of requests.
+      await sleep(this.gapMs, signal);
+    }
+  }
+
+  private apply(changes: Change[], revision: number): void {
+    const fresh = changes.filter((change) => change.version > this.version(change.key));
+    for (const change of fresh) {
+      const entry = { value: change.value, version: change.version };
+      if (change.key.startsWith('end/')) {
+        if (!change.deleted) this.learnEnd(change.key, entry);
+      } else if (change.deleted) this.entries.delete(change.key);
+      else this.entries.set(change.key, entry);
+    }
+    this.at = Math.max(this.at, revision);
+    this.notify(fresh);
+  }
+
+  private notify(changes: Change[]): void {
+    if (changes.length === 0) return;
+    for (const listener of this.listeners) listener(changes);
+  }
+}
+
+function differences(before: Map<string, Entry>, after: Map<string, Entry>): Change[] {
+  const changes: Change[] = [];
+  for (const [key, entry] of after) {
+    if (before.get(key)?.version !== entry.version) changes.push({ key, ...entry, deleted: false });
+  }
+  for (const [key, entry] of before) {
+    if (!after.has(key)) changes.push({ key, value: undefined, version: entry.version, deleted: true });
+  }
+  return changes;
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,114 @@
+import { type Fields, isFields, list, number, text } from './codec.js';
+
+export interface Condition {
+  key: string;
+  /** 0: the key does not exist. */
+  version: number;
+}
+
+export type Write = { put: string; value: unknown; lease?: number } | { drop: string };
+
+export interface Item {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+/** A change seen by a watch; without a value the key was deleted. */
+export interface Change {
+  key: string;
+  value: unknown;
+  version: number;
+  deleted: boolean;
+}
+
+// One root for all our keys, so that a single watch sees them all.
+const root = 'sk/';
+
+export function keyPath(key: string): string {
+  return `/keys/${root}${key}`;
+}
+
+export function listPath(prefix: string, after: string, limit: number): string {
+  const since = after === '' ? '' : `&since=${encodeURIComponent(root + after)}`;
+  return `/keys?prefix=${encodeURIComponent(root + prefix)}${since}&most=${limit}`;
+}
+
+export function watchPath(since: number, waitMs: number): string {
+  return `/changes?prefix=${encodeURIComponent(root)}&since=${since}&holdMs=${waitMs}`;
+}
+
+export function commitBody(conditions: Condition[], writes: Write[]): unknown {
+  const body: Fields = { when: conditions.map((c) => ({ path: root + c.key, stamp: c.version })) };
+  if (writes.length > 0) {
+    body['writes'] = writes.map((w) => {
+      if ('drop' in w) return { drop: root + w.drop };
+      const put: Fields = { set: root + w.put, value: w.value };
+      if (w.lease !== undefined) put['tenure'] = w.lease;
+      return put;
+    });
+  }
+  return body;
+}
+
+export function parseCommit(body: unknown): { revision: number; failed: string[] } {
+  const fields = isFields(body) ? body : {};
+  return {
+    revision: number(fields['logline']),
+    failed: list(fields['failed']).map((key) => text(key).slice(root.length)),
+  };
+}
+
+function parseItem(value: unknown): Item | undefined {
+  if (!isFields(value)) return undefined;
+  return {
+    key: text(value['path']).slice(root.length),
+    value: value['value'],
+    version: number(value['stamp']),
+  };
+}
+
+export function parseRead(body: unknown): Item | undefined {
+  return parseItem(body);
+}
+
+export function parseList(body: unknown): { items: Item[]; more: boolean; revision: number } {
+  const fields = isFields(body) ? body : {};
+  return {
+    items: list(fields['items'])
+      .map(parseItem)
+      .filter((i) => i !== undefined),
+    more: fields['hasNext'] === true,
+    revision: number(fields['logline']),
+  };
+}
+
+export function parseChanges(body: unknown): { changes: Change[]; revision: number } {
+  const fields = isFields(body) ? body : {};
+  return {
+    changes: list(fields['news'])
+      .filter(isFields)
+      .map((n) => {
+        const deleted = typeof n['drop'] === 'string';
+        return {
+          key: text(deleted ? n['drop'] : n['set']).slice(root.length),
+          value: n['value'],
+          version: number(n['stamp']),
+          deleted,
+        };
+      }),
+    revision: number(fields['logline']),
+  };
+}
+
+export function grantBody(ttlMs: number): unknown {
+  return { lifeMs: Math.round(ttlMs) };
+}
+
+export function parseGrant(body: unknown): number {
+  return number(isFields(body) ? body['tenure'] : undefined, -1);
+}
+
+export function grantPath(id: number): string {
+  return `/grants/${id}`;
+}
