--- a/src/controller.ts
+++ b/src/controller.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { sleep, steadyClock } from './base/clock.js';
@@ -47,6 +48,8 @@
 
   async run(signal: AbortSignal): Promise<void> {
     const { settings, log, clock, boot, operator } = this;
+    // Every call in flight listens on it, and there may be many.
+    setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
     const stage = (lane: 'intake' | 'duty', transactions: number): CommitStage =>
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
--- a/src/leadership/term.ts
+++ b/src/leadership/term.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 export interface TermFacts {
   /** The revision of the commit that made us leader: it outranks every earlier one. */
   token: number;
@@ -21,6 +23,7 @@
     this.grant = facts.grant;
     this.ttlMs = facts.ttlMs;
     this.startedAt = facts.startedAt;
+    setMaxListeners(0, this.controller.signal);
   }
 
   get signal(): AbortSignal {
--- /dev/null
+++ b/src/settings/settings.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { settingsJson } from '../testing/settings.js';
+import { parseOperatorSettings, defaultOperatorSettings } from './operator.js';
+import { SettingsError, parseSettings } from './settings.js';
+
+test('the platform file is read, unknown fields are ignored', () => {
+  const settings = parseSettings(settingsJson((file) => (file['novelty'] = { a: 1 })));
+  assert.equal(settings.label, 'keel-0');
+  assert.equal(settings.leaseMs, 14_000);
+  assert.equal(settings.teams.get('red')?.cpusMax, 32);
+});
+
+test('a wrong field is named', () => {
+  const wrong: [(file: Record<string, unknown>) => void, RegExp][] = [
+    [(file) => delete file['label'], /label/],
+    [(file) => (file['serve_on'] = 'nowhere'), /serve_on: must be HOST:PORT/],
+    [
+      (file) => ((file['settings'] as { state: Record<string, unknown> }).state['rps'] = 0),
+      /settings\.state\.rps/,
+    ],
+    [
+      (file) => ((file['settings'] as { workers: Record<string, unknown> }).workers['cancel_s'] = 10),
+      /cancel_s/,
+    ],
+  ];
+  for (const [spoil, message] of wrong) {
+    assert.throws(
+      () => parseSettings(settingsJson(spoil)),
+      (e) => e instanceof SettingsError && message.test(e.message),
+    );
+  }
+  assert.throws(() => parseSettings('{'), /not valid JSON/);
+});
+
+test("operators' XML overrides defaults and is strict", async () => {
+  const settings = await parseOperatorSettings('<shalekeel><ladder start="0.5"/></shalekeel>');
+  assert.equal(settings.ladder.start, 0.5);
+  assert.equal(settings.ladder.slotShare, defaultOperatorSettings.ladder.slotShare);
+  await assert.rejects(parseOperatorSettings('<shalekeel><ladder start="2"/></shalekeel>'), /ladder\.start/);
+  await assert.rejects(parseOperatorSettings('<shalekeel><ladr/></shalekeel>'), /ladr/);
+  await assert.rejects(parseOperatorSettings('<shalekeel>'), /XML/);
+  await assert.rejects(parseOperatorSettings('<other/>'), /root element/);
+});
