--- /dev/null
+++ b/src/blocks/leasing.ts
@@ -0,0 +1,134 @@
+import { type BlockRecord, type LeasedMachine, type Shares, tokenOfThisCommit } from '../wire/records.js';
+
+export interface Member {
+  label: string;
+  boot: string;
+  zone: string;
+}
+
+export function emptyBlock(): BlockRecord {
+  return { owner: '', boot: '', shares: {}, machines: [] };
+}
+
+export interface LeaseFacts {
+  count: number;
+  blocks: ReadonlyMap<number, BlockRecord>;
+  /** Controllers whose grant is alive. */
+  alive: Member[];
+  /** Those of them that have been alive for long enough to be given a block back. */
+  settled: ReadonlySet<string>;
+  /** Rented machines that belong to no block yet. */
+  fresh: LeasedMachine[];
+  gone: ReadonlySet<string>;
+  /** Machines with tasks, as of the blocks' present versions: these can neither move nor be dropped. */
+  busy: ReadonlySet<string>;
+  /** Machines that are to be given back. */
+  unwanted: ReadonlySet<string>;
+  /** Machines that are to belong to another block once they are empty. */
+  moves: ReadonlyMap<string, number>;
+  /** Waiting work by block for machines like this one, in slots. */
+  waiting: (block: number, machine: LeasedMachine) => number;
+  shares: ReadonlyMap<number, Shares>;
+}
+
+/** The records that the leader is to commit now; blocks that stay as they are do not appear. */
+export function nextBlocks(facts: LeaseFacts): Map<number, BlockRecord> {
+  const blocks = new Map<number, BlockRecord>();
+  for (let block = 0; block < facts.count; block++) {
+    const record = facts.blocks.get(block) ?? emptyBlock();
+    blocks.set(block, { ...record, machines: record.machines.map((m) => ({ ...m })) });
+  }
+  for (const [block, record] of blocks) record.shares = facts.shares.get(block) ?? record.shares;
+  lease(blocks, facts);
+  for (const record of blocks.values()) {
+    record.machines = record.machines.filter((m) => !facts.gone.has(m.id) || facts.busy.has(m.id));
+    for (const machine of record.machines) {
+      machine.leaving = facts.unwanted.has(machine.id) || facts.moves.has(machine.id);
+    }
+  }
+  move(blocks, facts);
+  for (const machine of facts.fresh) {
+    const known = [...blocks.values()].some((record) => record.machines.some((m) => m.id === machine.id));
+    if (!known && !facts.gone.has(machine.id)) homeOf(machine, blocks, facts)?.machines.push(machine);
+  }
+  for (const [block, record] of blocks) {
+    if (sameRecord(facts.blocks.get(block), record)) blocks.delete(block);
+  }
+  return blocks;
+}
+
+/** Blocks of controllers that are gone are leased anew at once; a controller without one gets one back later. */
+function lease(blocks: Map<number, BlockRecord>, facts: LeaseFacts): void {
+  const alive = new Map(facts.alive.map((member) => [member.label, member]));
+  const held = (label: string): number => [...blocks.values()].filter((r) => r.owner === label).length;
+  const fewest = [...alive.keys()].sort();
+  const next = (): string | undefined => fewest.sort((a, b) => held(a) - held(b) || (a < b ? -1 : 1))[0];
+  for (const record of blocks.values()) {
+    if (alive.has(record.owner)) continue;
+    const owner = alive.get(next() ?? '');
+    if (owner) giveTo(record, owner);
+  }
+  for (const label of [...alive.keys()].sort()) {
+    if (held(label) > 0 || !facts.settled.has(label)) continue;
+    const spare = [...blocks.values()]
+      .filter((record) => held(record.owner) > 1)
+      .sort((a, b) => a.machines.length - b.machines.length)[0];
+    const member = alive.get(label);
+    if (spare && member) giveTo(spare, member);
+  }
+}
+
+/** Every machine of the block gets the revision of this lease as its token, which outranks all before. */
+export function giveTo(record: BlockRecord, owner: Member): void {
+  record.owner = owner.label;
+  record.boot = owner.boot;
+  for (const machine of record.machines) machine.token = tokenOfThisCommit;
+}
+
+/** Only an empty machine changes blocks, and only after its owner can no longer place anything on it. */
+function move(blocks: Map<number, BlockRecord>, facts: LeaseFacts): void {
+  for (const [id, to] of facts.moves) {
+    for (const [block, record] of blocks) {
+      const wasLeaving = facts.blocks.get(block)?.machines.some((m) => m.id === id && m.leaving);
+      const machine = record.machines.find((m) => m.id === id);
+      if (!machine || block === to || !wasLeaving || facts.busy.has(id)) continue;
+      record.machines = record.machines.filter((m) => m.id !== id);
+      blocks.get(to)?.machines.push({ ...machine, token: tokenOfThisCommit, leaving: false });
+      break;
+    }
+  }
+}
+
+/**
+ * A new machine goes to the controller of its own zone, so that a cut between zones leaves both halves working,
+ * unless only others have work waiting for it.
+ */
+function homeOf(
+  machine: LeasedMachine,
+  blocks: Map<number, BlockRecord>,
+  facts: LeaseFacts,
+): BlockRecord | undefined {
+  const zoneOf = new Map(facts.alive.map((member) => [member.label, member.zone]));
+  const like = (record: BlockRecord): number =>
+    record.machines.filter((m) => m.type === machine.type && m.spot === machine.spot).length;
+  const ranked = [...blocks].map(([block, record]) => ({
+    record,
+    local: zoneOf.get(record.owner) === machine.zone,
+    waiting: facts.waiting(block, machine),
+    like: like(record),
+  }));
+  const lacking = ranked.some((r) => r.waiting > 0);
+  const localLacks = ranked.some((r) => r.local && r.waiting > 0);
+  ranked.sort(
+    (a, b) =>
+      (lacking && !localLacks ? b.waiting - a.waiting : 0) ||
+      Number(b.local) - Number(a.local) ||
+      b.waiting - a.waiting ||
+      a.like - b.like,
+  );
+  return ranked[0]?.record;
+}
+
+function sameRecord(a: BlockRecord | undefined, b: BlockRecord): boolean {
+  return a !== undefined && JSON.stringify(a) === JSON.stringify(b);
+}
--- /dev/null
+++ b/src/blocks/tenancy.ts
@@ -0,0 +1,128 @@
+import type { Clock } from '../base/clock.js';
+import type { Log } from '../base/log.js';
+import { runRoutine } from '../base/routine.js';
+import type { CloudClient } from '../cloud/client.js';
+import type { MachineType } from '../model/types.js';
+import { Board } from '../placement/board.js';
+import type { Census } from '../placement/census.js';
+import { Scheduler } from '../placement/scheduler.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { Settings } from '../settings/settings.js';
+import type { StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Mirror } from '../store/mirror.js';
+import { type BlockRecord, blockKey, tasksPerPage } from '../wire/records.js';
+import type { Change } from '../wire/state.js';
+import { Custody } from '../workers/custody.js';
+import type { MachineState } from '../workers/machine-state.js';
+import { giveTo } from './leasing.js';
+import type { Registry } from './registry.js';
+
+export interface TenancyPorts {
+  clock: Clock;
+  log: Log;
+  settings: Settings;
+  operator: OperatorSettings;
+  store: StoreClient;
+  commits: CommitStage;
+  mirror: Mirror;
+  census: Census;
+  registry: Registry;
+  cloud: CloudClient;
+  boot: string;
+  types: () => ReadonlyMap<string, MachineType>;
+}
+
+interface Tenure {
+  board: Board;
+  scheduler: Scheduler;
+  stop: AbortController;
+}
+
+/** The blocks that are leased to this controller, each with its board and its duties. */
+export class Tenancy {
+  private readonly tenures = new Map<number, Tenure>();
+  private renewing = false;
+
+  constructor(private readonly ports: TenancyPorts) {}
+
+  boards(): Board[] {
+    return [...this.tenures.values()].map((tenure) => tenure.board);
+  }
+
+  find(machine: string): { board: Board; machine: MachineState } | undefined {
+    for (const { board } of this.tenures.values()) {
+      const found = board.machines.get(machine);
+      if (found && found.token > 0) return { board, machine: found };
+    }
+    return undefined;
+  }
+
+  poke(): void {
+    for (const { scheduler } of this.tenures.values()) scheduler.poke();
+  }
+
+  /** Called after every batch of changes of the copy, which is where leases come and go. */
+  follow(changes: Change[]): void {
+    const { registry, settings, boot } = this.ports;
+    const blocks = registry.blocks();
+    for (const [block, tenure] of this.tenures) {
+      const record = blocks.get(block);
+      if (record?.owner === settings.label && record.boot === boot) tenure.board.apply(changes);
+      else this.end(block, tenure);
+    }
+    for (const [block, record] of blocks) {
+      if (record.owner !== settings.label) continue;
+      const version = registry.version(block);
+      if (record.boot !== boot) {
+        if (!this.renewing) void this.renew(block, record, version);
+        continue;
+      }
+      const tenure = this.tenures.get(block) ?? this.begin(block);
+      if (tenure.board.version !== version) tenure.board.applyBlock(record, version);
+      tenure.scheduler.poke();
+    }
+  }
+
+  /**
+   * A block leased to an earlier life of this process. That life knew which reports were the latest and may have left
+   * transactions under way; fresh tokens and a new version of the block put both behind us.
+   */
+  private async renew(block: number, record: BlockRecord, version: number): Promise<void> {
+    const { commits, settings, boot, log } = this.ports;
+    this.renewing = true;
+    const renewed = { ...record, machines: record.machines.map((m) => ({ ...m })) };
+    giveTo(renewed, { label: settings.label, boot, zone: settings.zone });
+    const outcome = await commits.commit(
+      [{ key: blockKey(block), version }],
+      [{ put: blockKey(block), value: renewed }],
+    );
+    log.info({ event: 'lease-renewed', block, outcome: outcome.kind }, 'lease of an earlier life renewed');
+    // Whether it was applied, the watch tells; were it not, the next change tries again.
+    this.renewing = false;
+  }
+
+  private begin(block: number): Tenure {
+    const { ports } = this;
+    const { settings, log, clock, mirror } = ports;
+    const stop = new AbortController();
+    const { signal } = stop;
+    const perPage = tasksPerPage(settings.state.valueBytes);
+    const board = new Board({ block, perPage, reportMs: settings.reportMs, clock });
+    board.load(mirror);
+    const scheduler = new Scheduler({ ...ports, board, signal });
+    const custody = new Custody({ ...ports, board, signal, onFreed: () => scheduler.poke() });
+    const tenure = { board, scheduler, stop };
+    this.tenures.set(block, tenure);
+    void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
+    void runRoutine(`custody-${block}`, signal, log, () => custody.run());
+    log.info({ event: 'lease-begins', block, jobs: board.jobs.size }, 'block is ours');
+    return tenure;
+  }
+
+  private end(block: number, tenure: Tenure): void {
+    tenure.stop.abort();
+    this.tenures.delete(block);
+    this.ports.log.info({ event: 'lease-over', block }, 'block is no longer ours');
+  }
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,23 +6,27 @@
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { createWebApp, serveWeb } from './base/web.js';
+import { roomsFor, spread, usedByMachine, wholeIn } from './blocks/homing.js';
+import { Landlord } from './blocks/landlord.js';
+import { Registry } from './blocks/registry.js';
+import { Tenancy } from './blocks/tenancy.js';
 import { CloudClient } from './cloud/client.js';
 import { Intake } from './intake/intake.js';
 import { Fleet } from './ladder/fleet.js';
 import type { AnsweringFacts } from './leadership/answering.js';
 import { Election } from './leadership/election.js';
+import { Membership } from './leadership/membership.js';
 import type { Term } from './leadership/term.js';
-import type { MachineType } from './model/types.js';
+import type { JobSpec, MachineType } from './model/types.js';
 import { PeerLinks, type PeerStatus, splitAddress } from './peers/links.js';
-import { Board } from './placement/board.js';
-import { Scheduler } from './placement/scheduler.js';
+import { Census } from './placement/census.js';
 import type { OperatorSettings } from './settings/operator.js';
 import type { Settings } from './settings/settings.js';
 import { StoreClient } from './store/client.js';
 import { CommitStage } from './store/commit-stage.js';
 import { Mirror } from './store/mirror.js';
-import { leadKey, tasksPerPage } from './wire/records.js';
-import { type Duty, WorkerDesk } from './workers/desk.js';
+import { type Part, leadKey } from './wire/records.js';
+import { WorkerDesk } from './workers/desk.js';
 
 const watchGapMs = 200;
 const probeMs = 400;
@@ -32,137 +36,190 @@
 const stageTransactions = { duty: 4, writes: 4, confirms: 8 };
 const socketShare = 0.8;
 const idleMs = 120_000;
+/** How long the peers are told of machines proven gone. */
+const goneToldMs = 20_000;
 
 /** Wires the slices of one controller together. */
 export class Controller {
   private readonly clock = steadyClock;
   private readonly boot = randomUUID();
   private readonly types = new Map<string, MachineType>();
-  private duty: (Duty & { scheduler: Scheduler | undefined }) | undefined;
+  private readonly store: StoreClient;
+  private readonly mirror: Mirror;
+  private readonly census: Census;
+  private readonly registry: Registry;
+  private readonly cloud: CloudClient;
+  /** Everything that is not a user's commits. */
+  private readonly commits: CommitStage;
+  private readonly tenancy: Tenancy;
+  private readonly membership: Membership;
+  private readonly election: Election;
+  private readonly peers: PeerLinks;
+  private readonly intake: Intake;
+  private fleet: Fleet | undefined;
 
   constructor(
     private readonly settings: Settings,
     private readonly operator: OperatorSettings,
     private readonly log: Log,
-  ) {}
-
-  async run(signal: AbortSignal): Promise<void> {
-    const { settings, log, clock, boot, operator } = this;
+    private readonly signal: AbortSignal,
+  ) {
+    const { clock, boot } = this;
     // Every call in flight listens on it, and there may be many.
     setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
+    const mirror = new Mirror(store, watchGapMs);
+    const census = new Census(clock);
+    const registry = new Registry(mirror);
+    const cloud = new CloudClient(settings, clock, signal);
     const stage = (lane: 'intake' | 'duty', transactions: number): CommitStage =>
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
     const commits = stage('duty', stageTransactions.duty);
-    const mirror = new Mirror(store, watchGapMs);
-    const cloud = new CloudClient(settings, clock, signal);
+    const types = (): ReadonlyMap<string, MachineType> => this.types;
+    const shared = {
+      clock,
+      log,
+      settings,
+      operator,
+      store,
+      mirror,
+      census,
+      registry,
+      cloud,
+      commits,
+      boot,
+      types,
+    };
+    this.tenancy = new Tenancy(shared);
+    this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
-    const election: Election = new Election({
-      ...{ clock, log, store, commits, mirror, settings, operator, boot },
+    this.election = new Election({
+      ...shared,
+      membership: this.membership,
       random: () => uniformFloat64(generator),
-      onTerm: (term) => this.lead(term, { store, commits, mirror, cloud }),
+      onTerm: (term) => this.lead(term),
     });
-    const intake = new Intake({
-      ...{ clock, log, settings, store, mirror },
+    this.intake = new Intake({
+      ...shared,
       wallClock: Date.now,
       writes: stage('intake', stageTransactions.writes),
       confirms: stage('intake', stageTransactions.confirms),
-      types: () => this.types,
-      isUp: () => this.isUp(mirror, store, peers),
+      isUp: () => this.isUp(),
+      home: (spec) => this.home(spec),
     });
-    const peers: PeerLinks = new PeerLinks({
+    this.peers = new PeerLinks({
       ...{ clock, log, settings, boot },
       facts: () => ({
         contactAge: store.contactAge(clock()),
-        token: this.duty?.term.token ?? 0,
-        cancelled: intake.recentlyCancelled(),
+        token: this.election.term?.token ?? 0,
+        cancelled: this.intake.recentlyCancelled(),
+        gone: this.tenancy.boards().flatMap((board) => board.goneSince(clock() - goneToldMs)),
       }),
       onStatus: (status) => this.heed(status),
     });
+    this.store = store;
+    this.mirror = mirror;
+    this.census = census;
+    this.registry = registry;
+    this.cloud = cloud;
+    this.commits = commits;
+    let loaded = false;
+    mirror.listen((changes) => {
+      if (loaded) census.apply(changes);
+      else census.load(mirror);
+      loaded = true;
+      this.tenancy.follow(changes);
+    });
+  }
+
+  async run(): Promise<void> {
+    const { settings, log, clock, signal, mirror, store } = this;
     const desk = new WorkerDesk({
-      ...{ clock, log, label: settings.label },
-      duty: () => this.duty,
-      leader: () => election.leader,
+      ...{ clock, label: settings.label, tenancy: this.tenancy, registry: this.registry },
+      leader: () => this.election.leader,
       storeFailing: () => store.failing,
-      answering: () => this.answeringFacts(store, peers),
-      onNews: () => this.duty?.scheduler?.poke(),
+      answering: () => this.answeringFacts(),
+      grantTtlMs: this.membership.ttlMs,
     });
-    const app = createWebApp([...intake.routes, desk.route], log);
+    const app = createWebApp([...this.intake.routes, desk.route], log);
     const listen = {
       ...splitAddress(settings.serveOn),
       maxConnections: Math.floor(settings.quota.sockets * socketShare),
       idleMs,
     };
-    log.info({ event: 'start', boot, zone: settings.zone }, 'starting');
+    log.info({ event: 'start', boot: this.boot, zone: settings.zone }, 'starting');
     await Promise.all([
       runRoutine('web', signal, log, (s) => serveWeb(app, listen, s)),
       runRoutine('mirror', signal, log, (s) => mirror.follow(s), probeMs),
-      runRoutine('machine-types', signal, log, (s) => this.followTypes(cloud, s), typesRetryMs),
-      runRoutine('store-contact', signal, log, (s) => this.keepContact(store, s), probeMs),
-      runRoutine('election', signal, log, (s) => election.run(s)),
-      peers.run(signal),
+      runRoutine('machine-types', signal, log, (s) => this.followTypes(s), typesRetryMs),
+      runRoutine('store-contact', signal, log, (s) => this.keepContact(s), probeMs),
+      runRoutine('membership', signal, log, (s) => this.membership.run(s), probeMs),
+      runRoutine('election', signal, log, (s) => this.election.run(s)),
+      this.peers.run(signal),
     ]);
   }
 
   /** Everything that only a leader does, for as long as its term lasts. */
-  private async lead(
-    term: Term,
-    parts: { store: StoreClient; commits: CommitStage; mirror: Mirror; cloud: CloudClient },
-  ): Promise<void> {
-    const { settings, operator, log, clock } = this;
-    const { store, commits, mirror, cloud } = parts;
-    this.duty = { term, board: undefined, scheduler: undefined };
+  private async lead(term: Term): Promise<void> {
+    const { settings, operator, log, clock, store, mirror, census, registry, cloud, commits, boot } = this;
+    // The copy must hold all that earlier leaders committed.
+    while (!term.signal.aborted && mirror.revision < term.token) await sleep(20, term.signal);
+    if (term.signal.aborted) return;
+    const types = (): ReadonlyMap<string, MachineType> => this.types;
+    const shared = {
+      clock,
+      log,
+      settings,
+      operator,
+      store,
+      mirror,
+      census,
+      registry,
+      cloud,
+      commits,
+      term,
+      types,
+    };
+    const fleet = new Fleet({ ...shared, wallClock: Date.now, leased: () => registry.machines() });
+    const landlord = new Landlord({ ...shared, fleet, boot, periodMs: operator.blocks.periodS * 1000 });
+    this.fleet = fleet;
     try {
-      // Nothing an earlier owner committed may be missing from the board, and it can commit no more.
-      while (!term.signal.aborted && mirror.revision < term.token) await sleep(20, term.signal);
-      if (term.signal.aborted) return;
-      const perPage = tasksPerPage(settings.state.valueBytes);
-      const board = new Board({ token: term.token, perPage, reportMs: settings.reportMs, clock });
-      board.load(mirror);
-      const types = (): ReadonlyMap<string, MachineType> => this.types;
-      const scheduler = new Scheduler({ clock, log, settings, store, commits, board, term, types });
-      const fleet = new Fleet({
-        ...{ clock, log, settings, operator, cloud, board, term, types },
-        onFreed: () => scheduler.poke(),
-      });
-      const unlisten = mirror.listen((changes) => {
-        board.apply(changes);
-        scheduler.poke();
-      });
-      this.duty = { term, board, scheduler };
-      log.info(
-        { event: 'term', token: term.token, jobs: board.jobs.size, machines: board.machines.size },
-        'leading',
-      );
-      try {
-        await Promise.all([runRoutine('scheduler', term.signal, log, () => scheduler.run()), fleet.run()]);
-      } finally {
-        unlisten();
-      }
+      await Promise.all([runRoutine('landlord', term.signal, log, () => landlord.run()), fleet.run()]);
     } finally {
-      this.duty = undefined;
+      this.fleet = undefined;
     }
   }
 
+  /** A job goes whole to the block with the most room, or, too big for any, to the leader to be placed. */
+  private home(spec: JobSpec): Part[] {
+    const { registry, census, types, election } = this;
+    const blocks = registry.blocks();
+    const alive = (label: string): boolean => registry.isAlive(label);
+    const rooms = roomsFor(spec, { blocks, alive, types, census, used: usedByMachine(census) });
+    return wholeIn(spec, rooms) ?? (election.leader === undefined ? spread(spec, rooms) : []);
+  }
+
   private heed(status: PeerStatus): void {
-    const { duty } = this;
-    if (!duty) return;
-    if (status.token > duty.term.token) duty.term.end(`${status.from} leads with a higher token`);
-    for (const id of status.cancelled) {
-      const job = duty.board?.jobs.get(id);
-      if (job && !job.ended) duty.board?.endJob(job, 'cancelled');
+    this.fleet?.noteGone(status.gone);
+    const { term } = this.election;
+    if (term && status.token > term.token) term.end(`${status.from} leads with a higher token`);
+    for (const board of this.tenancy.boards()) {
+      for (const id of status.cancelled) {
+        const job = board.jobs.get(id);
+        if (job && !job.ended) board.endJob(job, 'cancelled');
+      }
     }
   }
 
-  private answeringFacts(store: StoreClient, peers: PeerLinks): AnsweringFacts {
+  private answeringFacts(): AnsweringFacts {
     const { cancelMs, leaseMs, reportMs } = this.settings;
     return {
       now: this.clock(),
-      lastContact: store.lastContact,
+      lastContact: this.store.lastContact,
       cancelMs,
       leaseMs,
       reportMs,
-      peers: this.settings.peers.map((peer) => peers.word(peer.label)),
+      peers: this.settings.peers.map((peer) => this.peers.word(peer.label)),
     };
   }
 
@@ -170,26 +227,29 @@
    * A controller that alone has lost the store sends users elsewhere. Where all have lost it there is no better
    * place, and turning unhealthy together would cost users their connections.
    */
-  private isUp(mirror: Mirror, store: StoreClient, peers: PeerLinks): boolean {
-    if (!mirror.ready || this.types.size === 0) return false;
+  private isUp(): boolean {
+    if (!this.mirror.ready || this.types.size === 0) return false;
     const limit = this.settings.reportMs;
-    if (store.contactAge(this.clock()) < limit) return true;
-    return this.settings.peers.every((peer) => (peers.word(peer.label)?.contactAge ?? Infinity) >= limit);
+    if (this.store.contactAge(this.clock()) < limit) return true;
+    return this.settings.peers.every(
+      (peer) => (this.peers.word(peer.label)?.contactAge ?? Infinity) >= limit,
+    );
   }
 
-  private async followTypes(cloud: CloudClient, signal: AbortSignal): Promise<void> {
+  private async followTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      for (const type of await cloud.machineTypes()) this.types.set(type.name, type);
+      for (const type of await this.cloud.machineTypes()) this.types.set(type.name, type);
       await sleep(typesEveryMs, signal);
     }
   }
 
   /** Asks the store something cheap when nothing else has lately, so that its silence is noticed. */
-  private async keepContact(store: StoreClient, signal: AbortSignal): Promise<void> {
+  private async keepContact(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (store.failing || store.contactAge(this.clock()) > probeMs * 2) {
-        await store.read(leadKey).catch(() => undefined);
+      if (this.store.failing || this.store.contactAge(this.clock()) > probeMs * 2) {
+        await this.store.read(leadKey).catch(() => undefined);
       }
+      this.tenancy.follow([]);
       await sleep(probeMs, signal);
     }
   }
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { Reply, Route } from '../base/web.js';
-import type { MachineType } from '../model/types.js';
+import type { JobSpec, MachineType } from '../model/types.js';
+import type { Census } from '../placement/census.js';
 import type { Settings } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -11,12 +12,11 @@
   type End,
   endKey,
   endRecord,
+  type Part,
   jobKey,
+  jobRecord,
   parseEnd,
   parseJobRecord,
-  parseRunPage,
-  runKey,
-  tasksPerPage,
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import { whyImpossible } from './admission.js';
@@ -35,6 +35,9 @@
   confirms: CommitStage;
   types: () => ReadonlyMap<string, MachineType>;
   isUp: () => boolean;
+  census: Census;
+  /** The block that a new job belongs to; empty where the leader has to place it. */
+  home: (spec: JobSpec) => Part[];
 }
 
 /** Open jobs that a controller keeps track of, per MB of its memory. */
@@ -87,7 +90,7 @@
         { key: jobKey(job.id), version: 0 },
         { key: endKey(job.id), version: 0 },
       ],
-      [{ put: jobKey(job.id), value: job }],
+      [{ put: jobKey(job.id), value: jobRecord({ spec: job, parts: this.ports.home(job) }) }],
     );
     if (outcome.kind === 'applied') return { status: 201, body: jobAnswer(job.id, 'pending') };
     if (outcome.kind === 'conflict') return this.known(job.id);
@@ -129,12 +132,12 @@
     if (store.failing) return trouble('state service');
     // Cancels keep their room: they are taken even where submissions no longer are.
     let jobVersion = mirror.version(jobKey(id));
-    let tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.tasks ?? 0;
+    let tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.spec.tasks ?? 0;
     if (jobVersion === 0) {
       try {
         const item = await store.read(jobKey(id), 'intake');
         jobVersion = item?.version ?? 0;
-        tasks = parseJobRecord(item?.value)?.tasks ?? 0;
+        tasks = parseJobRecord(item?.value)?.spec.tasks ?? 0;
       } catch {
         return trouble('state service');
       }
@@ -153,6 +156,7 @@
         return { status: 200, body: jobAnswer(id, 'cancelled') };
       }
       if (outcome.kind !== 'conflict') return trouble('state service');
+      // The leader may have placed the job anew meanwhile: the user's next try finds its new version.
     }
     const standing = await this.standing(id);
     if (standing.kind === 'ended') {
@@ -193,19 +197,8 @@
 
   /** For display: it may lag behind the leader by a commit or two. */
   private progress(id: string): { status: JobStatus; done: number; running: number } {
-    const { mirror, settings } = this.ports;
-    const tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.tasks ?? 0;
-    const pages = Math.ceil(tasks / tasksPerPage(settings.state.valueBytes));
-    let done = 0;
-    let running = 0;
-    for (let index = 0; index < pages; index++) {
-      const page = parseRunPage(mirror.get(runKey(id, index))?.value);
-      if (!page) continue;
-      running += page.active.length;
-      for (let i = 0; i + 1 < page.done.length; i += 2)
-        done += (page.done[i + 1] ?? 0) - (page.done[i] ?? 0) + 1;
-    }
-    return { status: running > 0 ? 'running' : 'pending', done, running };
+    const { done, active } = this.ports.census.progress(id);
+    return { status: active > 0 ? 'running' : 'pending', done, running: active };
   }
 
   private openJobs(): number {
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -1,8 +1,8 @@
-import { type MachineType, type Resources, withinLimit } from '../model/types.js';
-import type { JobState } from '../placement/job-state.js';
-import { byOrderOfWork, type Usage } from '../placement/plan.js';
+import { type JobSpec, type MachineType, type Resources, fits, withinLimit } from '../model/types.js';
+import { type Census, type CensusJob, needOf } from '../placement/census.js';
+import { byOrderOfWork, Usage } from '../placement/plan.js';
 import type { Team } from '../settings/settings.js';
-import type { MachineState } from '../workers/machine-state.js';
+import type { LeasedMachine } from '../wire/records.js';
 import { type LadderShape, slotsOf, slotsPerMachine } from './ladder.js';
 
 /** All machines of one type and kind: each such pool has a ladder of its own. */
@@ -10,12 +10,14 @@
   key: string;
   type: MachineType;
   spot: boolean;
-  /** Up or booting, and not on its way out. */
-  machines: MachineState[];
-  draining: MachineState[];
+  /** Up or booting, and not on their way out. */
+  machines: LeasedMachine[];
+  leaving: LeasedMachine[];
   /** The cloud refuses more of it, in every zone, for now. */
   exhausted: boolean;
   counted: number;
+  /** Counted slots of waiting tasks, by block; work that no block has yet counts as block -1. */
+  waiting: Map<number, number>;
 }
 
 export function poolKey(type: string, spot: boolean): string {
@@ -24,44 +26,33 @@
 
 export function buildPools(
   types: Iterable<MachineType>,
-  machines: Iterable<MachineState>,
+  machines: Iterable<LeasedMachine>,
+  leaving: (machine: LeasedMachine) => boolean,
   exhausted: (type: MachineType, spot: boolean) => boolean,
 ): Map<string, Pool> {
   const pools = new Map<string, Pool>();
   for (const type of types) {
     for (const spot of [false, true]) {
       const key = poolKey(type.name, spot);
-      pools.set(key, {
-        key,
-        type,
-        spot,
-        machines: [],
-        draining: [],
-        exhausted: exhausted(type, spot),
-        counted: 0,
-      });
+      const none = { machines: [], leaving: [], counted: 0, waiting: new Map<number, number>() };
+      pools.set(key, { key, type, spot, exhausted: exhausted(type, spot), ...none });
     }
   }
   for (const machine of machines) {
-    const pool = pools.get(poolKey(machine.place.type, machine.place.spot));
-    if (!pool || machine.status === 'releasing' || machine.faulty || machine.notice !== null) continue;
-    (machine.draining ? pool.draining : pool.machines).push(machine);
+    const pool = pools.get(poolKey(machine.type, machine.spot));
+    if (pool) (leaving(machine) ? pool.leaving : pool.machines).push(machine);
   }
   return pools;
 }
 
 /** Pools that may serve the job, cheapest first. Cheap machines leave ordinary ones to work that needs them. */
-export function poolsFor(job: JobState, pools: Iterable<Pool>): Pool[] {
-  const { spec } = job;
-  if (!spec) return [];
+export function poolsFor(spec: JobSpec, pools: Iterable<Pool>): Pool[] {
   const eligible = [...pools].filter(
     (pool) =>
       (spec.spot || !pool.spot) &&
       (spec.types === null || spec.types.includes(pool.type.name)) &&
       (spec.zone === null || pool.type.zones.includes(spec.zone)) &&
-      spec.cpus <= pool.type.cpus &&
-      spec.memoryGb <= pool.type.memoryGb &&
-      spec.accelerators <= pool.type.accelerators,
+      fits(spec, pool.type),
   );
   const cost = (pool: Pool): number => {
     const price = pool.spot ? pool.type.spotPrice : pool.type.price;
@@ -74,57 +65,73 @@
 }
 
 export interface DemandFacts {
-  jobs: Iterable<JobState>;
-  machines: ReadonlyMap<string, MachineState>;
+  census: Census;
+  machines: ReadonlyMap<string, LeasedMachine>;
   pools: ReadonlyMap<string, Pool>;
   teams: ReadonlyMap<string, Team>;
-  usage: Usage;
   shape: LadderShape;
 }
 
 /** Fills in each pool's counted slots: tasks on machines, and waiting ones that their team's limit admits. */
 export function countDemand(facts: DemandFacts): void {
-  const { pools, shape } = facts;
-  const jobs = [...facts.jobs];
-  for (const job of jobs) {
-    for (const task of job.tasks.values()) {
-      const machine = task.phase === 'waiting' ? undefined : facts.machines.get(task.machine);
-      const pool = machine && pools.get(poolKey(machine.place.type, machine.place.spot));
-      if (pool) pool.counted += slotsOf(job.need, pool.type, shape);
-    }
+  const { pools, shape, census } = facts;
+  const usage = new Usage();
+  for (const { page, machine: id } of census.activeTasks()) {
+    usage.add(page.team, page);
+    const machine = facts.machines.get(id);
+    const pool = machine && pools.get(poolKey(machine.type, machine.spot));
+    if (pool) pool.counted += slotsOf(page, pool.type, shape);
   }
-  for (const job of jobs.filter((j) => j.waiting > 0).sort(byOrderOfWork)) {
-    let left = admitted(job, facts);
-    facts.usage.add(job.team, job.need, left);
-    const choices = poolsFor(job, pools.values());
-    for (const pool of choices) {
-      const each = slotsOf(job.need, pool.type, shape);
-      const room = pool.exhausted
-        ? Math.max(0, pool.machines.length * slotsPerMachine(shape) - pool.counted)
-        : Infinity;
-      const last = pool === choices.at(-1);
-      // What no pool has room for still counts somewhere, so that the ladder does not give back under it.
-      const take = last ? left : Math.min(left, Math.floor(room / each));
-      pool.counted += take * each;
-      left -= take;
-      if (left === 0) break;
+  const waiting = [...census.jobs.values()].sort((a, b) => byOrderOfWork(a.spec, b.spec));
+  for (const job of waiting) {
+    const need = needOf(job.spec);
+    let left = admitted(job, facts, usage);
+    usage.add(job.spec.team, need, left);
+    const choices = poolsFor(job.spec, pools.values());
+    for (const { block, count } of census.waiting(job)) {
+      left -= spreadOver(choices, need, Math.min(left, count), block ?? -1, shape);
     }
   }
 }
 
-function admitted(job: JobState, facts: DemandFacts): number {
-  const team = facts.teams.get(job.team);
+function spreadOver(
+  choices: Pool[],
+  need: Resources,
+  count: number,
+  block: number,
+  shape: LadderShape,
+): number {
+  let left = count;
+  for (const pool of choices) {
+    if (left <= 0) break;
+    const each = slotsOf(need, pool.type, shape);
+    const room = pool.exhausted
+      ? Math.max(0, pool.machines.length * slotsPerMachine(shape) - pool.counted)
+      : Infinity;
+    // What no pool has room for still counts somewhere, so that the ladder does not give back under it.
+    const take = pool === choices.at(-1) ? left : Math.min(left, Math.floor(room / each));
+    pool.counted += take * each;
+    pool.waiting.set(block, (pool.waiting.get(block) ?? 0) + take * each);
+    left -= take;
+  }
+  return count;
+}
+
+function admitted(job: CensusJob, facts: DemandFacts, usage: Usage): number {
+  const { spec } = job;
+  const team = facts.teams.get(spec.team);
   if (!team) return 0;
-  const used = facts.usage.of(team.name);
-  const { cpus, accelerators } = job.need;
-  let count = job.waiting;
-  if (!withinLimit(used.cpus, cpus * count, team.cpusMax)) count = roomFor(team.cpusMax - used.cpus, cpus);
-  if (!withinLimit(used.accelerators, accelerators * count, team.acceleratorsMax)) {
-    count = Math.min(count, roomFor(team.acceleratorsMax - used.accelerators, accelerators));
+  const used = usage.of(team.name);
+  const { done, active } = facts.census.progress(job.id);
+  let count = Math.max(0, spec.tasks - done - active);
+  if (!withinLimit(used.cpus, spec.cpus * count, team.cpusMax))
+    count = roomFor(team.cpusMax - used.cpus, spec.cpus);
+  if (!withinLimit(used.accelerators, spec.accelerators * count, team.acceleratorsMax)) {
+    count = Math.min(count, roomFor(team.acceleratorsMax - used.accelerators, spec.accelerators));
   }
   return count;
 }
 
-function roomFor(free: number, each: Resources['cpus']): number {
+function roomFor(free: number, each: number): number {
   return each > 0 ? Math.max(0, Math.floor(free / each)) : 0;
 }
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -5,38 +5,49 @@
 import { type CloudClient, releaseLimit } from '../cloud/client.js';
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
-import type { Board } from '../placement/board.js';
+import type { Census } from '../placement/census.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import type { MachineState } from '../workers/machine-state.js';
+import type { LeasedMachine } from '../wire/records.js';
 import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
-import { Ladder } from './ladder.js';
+import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
-import { silentMachines } from './silence.js';
 
 export interface FleetPorts {
   clock: Clock;
+  wallClock: () => number;
   log: Log;
   settings: Settings;
   operator: OperatorSettings;
   cloud: CloudClient;
-  board: Board;
+  census: Census;
   term: Term;
   types: () => ReadonlyMap<string, MachineType>;
-  /** Machines were proven gone, so their tasks wait again. */
-  onFreed: () => void;
+  /** All machines of all blocks, as the store has them. */
+  leased: () => ReadonlyMap<string, LeasedMachine>;
 }
 
 const tickMs = 1000;
 /** A machine that is given back earlier is charged for this long all the same. */
 const minimumChargeMs = 60_000;
+const gonesKept = 2000;
 
-/** The leader's renting and giving back. */
+/** The leader's renting and giving back, by the ladder of each pool. */
 export class Fleet {
+  /** Rented or found in the list, and in no block yet. */
+  readonly fresh = new Map<string, LeasedMachine>();
+  /** Known to be gone; the list and the blocks may still name them for a while. */
+  readonly gone = new Set<string>();
+  /** On their way out: nothing more is to be placed on them. */
+  readonly unwanted = new Set<string>();
+  /** No longer listed: most likely taken by the cloud, which a release will prove. */
+  readonly lost = new Set<string>();
+  /** A release of theirs is under way. */
+  private readonly releasing = new Set<string>();
+  private pools = new Map<string, Pool>();
   private readonly ladder: Ladder;
   private readonly refusals: Refusals;
-  private readonly listedBefore = new Set<string>();
-  private readonly why = new Map<string, string>();
+  private readonly lastListed = new Map<string, number>();
   private listedAt = -Infinity;
 
   constructor(private readonly ports: FleetPorts) {
@@ -46,19 +57,28 @@
 
   async run(): Promise<void> {
     const { term, log } = this.ports;
-    const duties: [string, () => Promise<void>][] = [
-      ['machine-list', () => this.followList()],
-      ['renting', () => this.keepRenting()],
-      ['releasing', () => this.keepReleasing()],
-    ];
-    await Promise.all(duties.map(([name, duty]) => runRoutine(name, term.signal, log, duty)));
+    await Promise.all([
+      runRoutine('machine-list', term.signal, log, () => this.followList()),
+      runRoutine('renting', term.signal, log, () => this.keepRenting()),
+      runRoutine('giving-back', term.signal, log, () => this.keepReleasing()),
+    ]);
   }
 
-  /** Marks a machine to be released; the cloud's answer is the proof that it is gone. */
-  release(machine: MachineState, why: string): void {
-    if (machine.status === 'releasing') return;
-    machine.status = 'releasing';
-    this.why.set(machine.id, why);
+  /** Slots that wait in a block for machines like this one. */
+  waiting(block: number, machine: LeasedMachine): number {
+    return this.pools.get(poolKey(machine.type, machine.spot))?.waiting.get(block) ?? 0;
+  }
+
+  noteGone(names: Iterable<string>): void {
+    for (const id of names) {
+      this.gone.add(id);
+      for (const ids of [this.unwanted, this.lost, this.fresh]) ids.delete(id);
+    }
+    while (this.gone.size > gonesKept) {
+      const oldest = this.gone.values().next();
+      if (oldest.done) return;
+      this.gone.delete(oldest.value);
+    }
   }
 
   private async followList(): Promise<void> {
@@ -69,34 +89,30 @@
     }
   }
 
-  private applyList(listed: CloudMachine[]): void {
-    const { board, clock, settings } = this.ports;
-    const now = clock();
-    this.listedAt = now;
-    const present = new Set<string>();
-    for (const { id, type, zone, spot, state, ageS } of listed) {
-      present.add(id);
-      // The list lags: what we know to be gone may still appear.
-      if (board.isGone(id)) continue;
-      const machine = board.machine({ id, type, zone, spot }, now - ageS * 1000);
-      machine.rentedAt = Math.min(machine.rentedAt, now - ageS * 1000);
-      if (state === 'failed') this.release(machine, 'failed');
-      this.listedBefore.add(id);
+  private applyList(machines: CloudMachine[]): void {
+    const { clock, wallClock, settings } = this.ports;
+    const leased = this.ports.leased();
+    this.listedAt = clock();
+    for (const { id, type, zone, spot, ageS, state } of machines) {
+      if (this.gone.has(id)) continue;
+      this.lastListed.set(id, this.listedAt);
+      this.lost.delete(id);
+      const machine = { id, token: 0, type, zone, spot, leaving: false, since: wallClock() - ageS * 1000 };
+      // Rented by an earlier leader, or by a request that was carried out late: it is used like any other.
+      if (!leased.has(id) && !this.fresh.has(id)) this.fresh.set(id, machine);
+      if (state === 'failed') this.lost.add(id);
     }
-    for (const id of this.listedBefore) {
-      const machine = board.machines.get(id);
-      if (!machine) this.listedBefore.delete(id);
-      else if (!present.has(id) && now - machine.lastSeen > settings.reportMs * 1.6) {
-        // Listed once and no longer, and silent: most likely taken. Releasing it proves it.
-        this.release(machine, 'no longer listed');
-      }
+    // A list may be older than the one before it, so a machine is missing only once it has been for longer than that.
+    for (const [id, at] of this.lastListed) {
+      if (this.listedAt - at <= settings.cloud.listLagMs * 2) continue;
+      this.lastListed.delete(id);
+      if (!this.gone.has(id)) this.lost.add(id);
     }
   }
 
   private async keepRenting(): Promise<void> {
     const { term, clock, settings } = this.ports;
     while (!term.signal.aborted) {
-      this.watchMachines();
       // What the last leader rented takes a while to be listed; renting sooner would rent it twice.
       const informed =
         clock() - term.startedAt > settings.cloud.listLagMs * 2 && this.listedAt > term.startedAt;
@@ -105,80 +121,55 @@
     }
   }
 
-  /** Releases machines that never come up, that have gone silent, or on which different jobs fail. */
-  private watchMachines(): void {
-    const { board, clock, settings, operator, types } = this.ports;
-    const now = clock();
-    const machines = [...board.machines.values()];
-    for (const machine of machines) {
-      const bootMs = (types().get(machine.place.type)?.bootS ?? 0) * 1000 * operator.workers.bootTimes;
-      const late = !machine.everSeen && now - machine.rentedAt > Math.max(bootMs, settings.leaseMs);
-      if (late && now - machine.lastSeen > settings.leaseMs && machine.place.type !== '') {
-        this.release(machine, 'never came up');
-      }
-      if (machine.faulty && machine.idle) this.release(machine, 'faulty');
-    }
-    for (const machine of silentMachines(machines, now, settings, operator.workers.silentReports)) {
-      this.release(machine, 'silent');
-    }
+  private machines(): Map<string, LeasedMachine> {
+    const machines = new Map([...this.ports.leased(), ...this.fresh]);
+    for (const id of this.gone) machines.delete(id);
+    return machines;
   }
 
   private async step(): Promise<void> {
-    const { board, types, settings, operator, clock } = this.ports;
+    const { types, settings, operator, clock, census } = this.ports;
     const now = clock();
-    const pools = buildPools(types().values(), board.machines.values(), (type, spot) =>
-      type.zones.every((zone) => this.refusals.refused(type.name, zone, spot, now)),
+    const machines = this.machines();
+    for (const id of this.fresh.keys()) if (this.ports.leased().has(id)) this.fresh.delete(id);
+    const pools = buildPools(
+      types().values(),
+      machines.values(),
+      (machine) => this.unwanted.has(machine.id) || this.lost.has(machine.id),
+      (type, spot) => type.zones.every((zone) => this.refusals.refused(type.name, zone, spot, now)),
     );
-    countDemand({
-      jobs: board.jobs.values(),
-      machines: board.machines,
-      pools,
-      teams: settings.teams,
-      usage: board.usage(),
-      shape: operator.ladder,
-    });
+    countDemand({ census, machines, pools, teams: settings.teams, shape: operator.ladder });
+    this.pools = pools;
     for (const pool of pools.values()) {
       const want = this.ladder.rentTo(pool.machines.length, pool.counted);
       if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
-      else if (this.ladder.givesBack(pool.machines.length, pool.counted)) this.giveBack(pool, now);
-      for (const machine of pool.draining) {
-        if (machine.idle && now - machine.rentedAt >= minimumChargeMs) this.release(machine, 'given back');
-      }
+      else if (this.ladder.givesBack(pool.machines.length, pool.counted)) this.giveBack(pool);
     }
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
-    const { clock, cloud, board, log, term } = this.ports;
+    const { clock, wallClock, cloud, log, term } = this.ports;
     let missing = count;
     // A machine on its way out is the quickest to have back.
-    for (const machine of pool.draining.slice(0, missing)) {
-      machine.draining = false;
+    const back = pool.leaving.filter((m) => !this.lost.has(m.id) && !this.releasing.has(m.id));
+    for (const machine of back.slice(0, missing)) {
+      this.unwanted.delete(machine.id);
       missing--;
     }
-    const inZone = new Map(pool.type.zones.map((zone) => [zone, 0]));
-    for (const { place } of pool.machines) inZone.set(place.zone, (inZone.get(place.zone) ?? 0) + 1);
-    const shares = new Map<string, number>();
-    for (; missing > 0; missing--) {
-      const open = pool.type.zones.filter(
-        (zone) => !this.refusals.refused(pool.type.name, zone, pool.spot, clock()),
-      );
-      const zone = open.sort((a, b) => (inZone.get(a) ?? 0) - (inZone.get(b) ?? 0) || (a < b ? -1 : 1))[0];
-      if (zone === undefined) break;
-      inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
-      shares.set(zone, (shares.get(zone) ?? 0) + 1);
-    }
-    for (const [zone, share] of shares) {
+    for (const [zone, share] of this.zonesFor(pool, missing)) {
       if (term.signal.aborted) return;
       const outcome = await cloud.rent(pool.type.name, zone, pool.spot, share);
-      const now = clock();
       const rented = outcome.kind === 'rented' ? outcome.machines : [];
-      for (const id of rented) board.machine({ id, type: pool.type.name, zone, spot: pool.spot }, now);
+      for (const id of rented) {
+        const { name: type } = pool.type;
+        this.fresh.set(id, { id, token: 0, type, zone, spot: pool.spot, leaving: false, since: wallClock() });
+      }
       if (rented.length > 0) {
         this.refusals.granted(pool.type.name, zone, pool.spot);
         log.info({ event: 'rented', pool: pool.key, zone, asked: share, machines: rented }, 'rented');
       }
       if (rented.length < share) {
-        this.refusals.refuse(pool.type.name, zone, pool.spot, now);
+        this.refusals.refuse(pool.type.name, zone, pool.spot, clock());
         log.info(
           { event: 'rental-refused', pool: pool.key, zone, asked: share, why: outcome.kind },
           'capacity refused',
@@ -187,32 +178,59 @@
     }
   }
 
-  private giveBack(pool: Pool, now: number): void {
-    const paid = pool.machines.filter(
-      (machine) => machine.status === 'up' && now - machine.rentedAt >= minimumChargeMs,
-    );
+  /** Each machine in the zone with the fewest of its type, of those that have not just refused. */
+  private zonesFor(pool: Pool, count: number): Map<string, number> {
+    const { clock } = this.ports;
+    const open = pool.type.zones.filter((z) => !this.refusals.refused(pool.type.name, z, pool.spot, clock()));
+    const inZone = new Map(pool.type.zones.map((zone) => [zone, 0]));
+    for (const { zone } of pool.machines) inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
+    const shares = new Map<string, number>();
+    for (let left = count; left > 0; left--) {
+      const zone = open.sort((a, b) => (inZone.get(a) ?? 0) - (inZone.get(b) ?? 0) || (a < b ? -1 : 1))[0];
+      if (zone === undefined) break;
+      inZone.set(zone, (inZone.get(zone) ?? 0) + 1);
+      shares.set(zone, (shares.get(zone) ?? 0) + 1);
+    }
+    return shares;
+  }
+
+  /** An empty machine if there is one, else the least loaded is drained. */
+  private giveBack(pool: Pool): void {
+    const { wallClock, census, operator } = this.ports;
+    const load = new Map<string, number>();
+    for (const { page, machine } of census.activeTasks()) {
+      load.set(machine, (load.get(machine) ?? 0) + slotsOf(page, pool.type, operator.ladder));
+    }
+    const loadOf = (machine: LeasedMachine): number => load.get(machine.id) ?? 0;
     // Placement fills machines in order of name, so the last ones empty first.
-    const empty = paid.filter((machine) => machine.idle).sort((a, b) => (a.id < b.id ? 1 : -1))[0];
-    if (empty) return this.release(empty, 'given back');
-    const least = paid.sort((a, b) => a.tasks.size - b.tasks.size || (a.id < b.id ? 1 : -1))[0];
-    if (least) least.draining = true;
+    const least = pool.machines
+      .filter((machine) => wallClock() - machine.since >= minimumChargeMs)
+      .sort((a, b) => loadOf(a) - loadOf(b) || (a.id < b.id ? 1 : -1))[0];
+    if (least) this.unwanted.add(least.id);
   }
 
+  /**
+   * Releases unwanted machines once they are empty. A block's owner places nothing on a machine that its record calls
+   * leaving; what it had committed before that record is in the census by the time the record is.
+   */
   private async keepReleasing(): Promise<void> {
-    const { board, cloud, term, log, onFreed } = this.ports;
+    const { cloud, term, log, census } = this.ports;
     while (!term.signal.aborted) {
-      const due = [...board.machines.values()].filter((m) => m.status === 'releasing').slice(0, releaseLimit);
-      if (due.length > 0 && (await cloud.release(due.map((m) => m.id)))) {
-        for (const machine of due) {
-          const lost = board.remove(machine.id);
-          const why = this.why.get(machine.id) ?? 'released';
-          this.why.delete(machine.id);
-          const pool = poolKey(machine.place.type, machine.place.spot);
-          log.info({ event: 'released', machine: machine.id, pool, why, tasks: lost.length }, 'released');
-        }
-        onFreed();
-      }
-      await sleep(tickMs / 4, term.signal);
+      await sleep(tickMs / 2, term.signal);
+      const busy = new Set([...census.activeTasks()].map((task) => task.machine));
+      const leased = this.ports.leased();
+      const due = [...this.unwanted, ...this.lost].filter((id) => {
+        const record = leased.get(id);
+        return !busy.has(id) && (record ? record.leaving : true);
+      });
+      const batch = due.slice(0, releaseLimit);
+      if (batch.length === 0) continue;
+      for (const id of batch) this.releasing.add(id);
+      const released = await cloud.release(batch);
+      for (const id of batch) this.releasing.delete(id);
+      if (!released) continue;
+      this.noteGone(batch);
+      log.info({ event: 'given-back', machines: batch }, 'given back');
     }
   }
 }
--- /dev/null
+++ b/src/leadership/membership.ts
@@ -0,0 +1,70 @@
+import { sleep } from '../base/clock.js';
+import type { Log } from '../base/log.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { Settings } from '../settings/settings.js';
+import type { StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Mirror } from '../store/mirror.js';
+import { type AliveRecord, aliveKey, parseAlive } from '../wire/records.js';
+
+export interface MembershipPorts {
+  log: Log;
+  store: StoreClient;
+  commits: CommitStage;
+  mirror: Mirror;
+  settings: Settings;
+  operator: OperatorSettings;
+  /** Tells one life of this process from the next. */
+  boot: string;
+}
+
+/** How often a grant is renewed in its life. */
+const renewals = 4;
+
+/**
+ * Keeps this controller's grant and the key that hangs on it, by which the others know it to be alive. The grant
+ * outlives a quick restart: the new life finds its blocks still leased to it.
+ */
+export class Membership {
+  readonly ttlMs: number;
+  private id: number | undefined;
+
+  constructor(private readonly ports: MembershipPorts) {
+    this.ttlMs = ports.settings.reportMs * ports.operator.leadership.grantReports;
+  }
+
+  get grant(): number | undefined {
+    return this.id;
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { store, log, mirror, settings } = this.ports;
+    try {
+      this.id = await store.grant(this.ttlMs);
+      await this.announce(this.id);
+      log.info({ event: 'joined', grant: this.id }, 'joined');
+      while (!signal.aborted) {
+        await sleep(this.ttlMs / renewals, signal);
+        if (signal.aborted) return;
+        try {
+          if (!(await store.touch(this.id))) break;
+        } catch (error) {
+          log.debug({ event: 'touch-failed', err: error }, 'grant not renewed');
+          continue;
+        }
+        // A late message of an earlier life may have hung our key on its own grant.
+        const alive = parseAlive(mirror.get(aliveKey(settings.label))?.value);
+        if (mirror.ready && alive?.boot !== this.ports.boot) await this.announce(this.id);
+      }
+      log.info({ event: 'grant-lost', grant: this.id }, 'grant ended');
+    } finally {
+      this.id = undefined;
+    }
+  }
+
+  private async announce(grant: number): Promise<void> {
+    const { commits, settings, boot } = this.ports;
+    const value: AliveRecord = { boot, zone: settings.zone };
+    await commits.commit([], [{ put: aliveKey(settings.label), value, lease: grant }]);
+  }
+}
--- a/src/leadership/term.ts
+++ b/src/leadership/term.ts
@@ -1,28 +1,15 @@
 import { setMaxListeners } from 'node:events';
 
-export interface TermFacts {
-  /** The revision of the commit that made us leader: it outranks every earlier one. */
-  token: number;
-  grant: number;
-  ttlMs: number;
-  grantedAt: number;
-  startedAt: number;
-}
-
 /** One spell of leadership. It ends once, for one reason, and every duty that belongs to it hangs on its signal. */
 export class Term {
-  readonly token: number;
-  readonly grant: number;
-  readonly ttlMs: number;
-  readonly startedAt: number;
   private readonly controller = new AbortController();
   private why = '';
 
-  constructor(facts: TermFacts) {
-    this.token = facts.token;
-    this.grant = facts.grant;
-    this.ttlMs = facts.ttlMs;
-    this.startedAt = facts.startedAt;
+  constructor(
+    /** The revision of the commit that made us leader: everything a leader commits is conditioned on it. */
+    readonly token: number,
+    readonly startedAt: number,
+  ) {
     setMaxListeners(0, this.controller.signal);
   }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -90,7 +90,7 @@
   const log = createLog(settings.label, process.env['LOG_LEVEL']);
   const stop = new AbortController();
   for (const name of ['SIGINT', 'SIGTERM'] as const) process.once(name, () => stop.abort());
-  await new Controller(settings, operator, log).run(stop.signal);
+  await new Controller(settings, operator, log, stop.signal).run();
 }
 
 main().catch((error: unknown) => {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -23,6 +23,8 @@
   echoBoot: string;
   /** Jobs it has lately confirmed as cancelled, for a leader that cannot see the store. */
   cancelled: string[];
+  /** Machines that it has lately proven gone. */
+  gone: string[];
 }
 
 interface Heard {
@@ -35,7 +37,7 @@
   log: Log;
   settings: Settings;
   boot: string;
-  facts: () => { contactAge: number; token: number; cancelled: string[] };
+  facts: () => Pick<PeerStatus, 'contactAge' | 'token' | 'cancelled' | 'gone'>;
   onStatus: (status: PeerStatus) => void;
 }
 
@@ -119,7 +121,8 @@
     const handle = new Writable({
       objectMode: true,
       write: (status: PeerStatus, _encoding, done) => {
-        if (typeof status?.from === 'string' && Array.isArray(status.cancelled)) this.receive(status);
+        if (typeof status?.from === 'string' && Array.isArray(status.cancelled) && Array.isArray(status.gone))
+          this.receive(status);
         done();
       },
     });
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -1,15 +1,24 @@
 import type { Clock } from '../base/clock.js';
 import { type Report, taskKey } from '../model/types.js';
+import type { Team } from '../settings/settings.js';
 import type { Mirror } from '../store/mirror.js';
-import { endKey, parseEnd, parseJobRecord, parseRunPage } from '../wire/records.js';
+import {
+  type BlockRecord,
+  type Shares,
+  endKey,
+  parseEnd,
+  parseJobRecord,
+  parseRunKey,
+  parseRunPage,
+} from '../wire/records.js';
 import type { Change } from '../wire/state.js';
-import { MachineState, type Placement } from '../workers/machine-state.js';
+import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
 import { JobState, type Task } from './job-state.js';
 import { Usage } from './plan.js';
 
 export interface BoardOptions {
-  token: number;
+  block: number;
   perPage: number;
   reportMs: number;
   clock: Clock;
@@ -18,20 +27,31 @@
 /** Causes that speak against the machine or the job, rather than being our own doing. */
 const failures = new Set(['error']);
 const longestPauseMs = 60_000;
-const gonesKept = 2000;
 const faultyAfterJobs = 2;
+const gonesKept = 2000;
 
-/** All that a block's owner knows of its jobs and machines, rebuilt from the store when a term begins. */
+/** All that a block's owner knows of its jobs and machines, rebuilt from the store when the lease begins. */
 export class Board {
+  /** Parts of jobs by job; a block has at most one part of each. */
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
-  /** Machines proven gone, whose late reports and late listings mean nothing. */
-  private readonly gone = new Set<string>();
+  /** Proven gone, however long the block's record or a late report still speaks of them. */
+  private readonly gone = new Map<string, number>();
+  private blockVersion = 0;
+  private shares: Shares = {};
 
   constructor(private readonly options: BoardOptions) {}
 
+  get block(): number {
+    return this.options.block;
+  }
+
+  get version(): number {
+    return this.blockVersion;
+  }
+
   load(mirror: Mirror): void {
-    for (const [key, entry] of mirror.below('job/')) this.addJob(key, entry.value, entry.version);
+    for (const [key, entry] of mirror.below('job/')) this.setJob(key, entry.value, entry.version);
     for (const [key, entry] of mirror.below('run/')) this.addPage(key, entry.value, entry.version);
     for (const job of this.jobs.values()) {
       const end = parseEnd(mirror.get(endKey(job.id))?.value);
@@ -39,12 +59,34 @@
     }
   }
 
-  /** Follows what the other controllers commit: new jobs and cancels. Run pages are written by this owner only. */
+  /** The leader's word on what belongs to the block. */
+  applyBlock(record: BlockRecord, version: number): void {
+    this.blockVersion = version;
+    this.shares = record.shares;
+    const listed = new Set(record.machines.map((m) => m.id));
+    for (const leased of record.machines) {
+      if (this.gone.has(leased.id)) continue;
+      const machine = this.machine(leased.id);
+      machine.place = { id: leased.id, type: leased.type, zone: leased.zone, spot: leased.spot };
+      machine.since = leased.since;
+      machine.leaving = leased.leaving;
+      machine.setToken(leased.token);
+    }
+    for (const machine of this.machines.values()) {
+      // A machine is taken out of a block only when it is empty. Should it not be, its tasks keep their place until
+      // the cloud proves them gone.
+      if (listed.has(machine.id)) continue;
+      if (machine.tasks.size === 0) this.machines.delete(machine.id);
+      else machine.leaving = true;
+    }
+  }
+
+  /** Follows what the other controllers commit: new jobs, their parts, cancels. Pages are written by us only. */
   apply(changes: Change[]): void {
     for (const change of changes) {
-      if (change.key.startsWith('job/') && !change.deleted)
-        this.addJob(change.key, change.value, change.version);
-      if (change.key.startsWith('end/') && !change.deleted) {
+      if (change.deleted) continue;
+      if (change.key.startsWith('job/')) this.setJob(change.key, change.value, change.version);
+      else if (change.key.startsWith('end/')) {
         const job = this.jobs.get(change.key.slice('end/'.length));
         const end = parseEnd(change.value);
         if (job && end) this.endJob(job, end.end);
@@ -54,32 +96,21 @@
 
   endJob(job: JobState, end: 'done' | 'cancelled'): void {
     job.ended ??= end;
-    for (const task of [...job.tasks.values()]) {
-      // Its intent is not committed, and now never will be: unless that commit is under way, it can be dropped.
-      if (task.phase === 'placing' && !job.pages.get(job.pageOf(task.index))?.busy) this.takeOff(task);
-    }
+    this.withdraw(job);
   }
 
   isGone(machine: string): boolean {
     return this.gone.has(machine);
   }
 
-  /** A machine that we rented, were told of, or that has reported to us. */
-  machine(place: Placement, rentedAt: number): MachineState {
-    let machine = this.machines.get(place.id);
-    if (!machine) {
-      machine = new MachineState(place, rentedAt, this.options.clock());
-      this.machines.set(place.id, machine);
-    } else if (machine.place.type === '') machine.place = place;
-    return machine;
+  /** What was proven gone since then, for the leader. */
+  goneSince(time: number): string[] {
+    return [...this.gone].filter(([, at]) => at >= time).map(([id]) => id);
   }
 
-  report(report: Report, mayStart: boolean): Reconciliation {
+  report(machine: MachineState, report: Report, mayStart: boolean): Reconciliation {
     const now = this.options.clock();
-    const { machine: id, type, zone, spot } = report;
-    const machine = this.machine({ id, type, zone, spot }, now);
-    const { token } = this.options;
-    const result = reconcile(machine, report, { token, now, jobs: this.jobs, mayStart });
+    const result = reconcile(machine, report, { now, jobs: this.jobs, mayStart });
     for (const finding of result.findings) {
       if (finding.kind === 'seen') {
         finding.task.phase = 'seen';
@@ -96,14 +127,12 @@
 
   /** Proven by the cloud: the machine and everything on it are gone. */
   remove(id: string): Task[] {
-    const machine = this.machines.get(id);
-    this.gone.add(id);
+    this.gone.set(id, this.options.clock());
     if (this.gone.size > gonesKept) {
-      const oldest = this.gone.values().next();
+      const oldest = this.gone.keys().next();
       if (!oldest.done) this.gone.delete(oldest.value);
     }
-    if (!machine) return [];
-    const lost = [...machine.tasks.values()];
+    const lost = [...(this.machines.get(id)?.tasks.values() ?? [])];
     for (const task of lost) this.takeOff(task);
     this.machines.delete(id);
     return lost;
@@ -128,6 +157,19 @@
     return usage;
   }
 
+  /** The team with what this block may use of its limits. Without a share of a limit, it may use none of it. */
+  limitsOf(team: Team): Team {
+    const [cpus, accelerators] = this.shares[team.name] ?? [0, 0];
+    // A limit of 0 means none; a share of 0 of a limit must not be mistaken for that.
+    const part = (limit: number, share: number): number =>
+      limit === 0 ? 0 : Math.max(share, Number.MIN_VALUE);
+    return {
+      ...team,
+      cpusMax: part(team.cpusMax, cpus),
+      acceleratorsMax: part(team.acceleratorsMax, accelerators),
+    };
+  }
+
   private left(machine: MachineState, task: Task, cause: string, now: number): void {
     const { job } = task;
     this.takeOff(task);
@@ -145,26 +187,52 @@
     }
   }
 
-  private addJob(key: string, value: unknown, version: number): void {
-    const spec = parseJobRecord(value);
-    if (!spec || key !== `job/${spec.id}` || this.jobs.has(spec.id)) return;
-    this.jobs.set(spec.id, JobState.fromSpec(spec, version, this.options.perPage));
+  /** Drops intents that are not committed and now never will be; where that commit is under way, it decides. */
+  private withdraw(job: JobState): void {
+    for (const task of [...job.tasks.values()]) {
+      if (task.phase === 'placing' && !job.pages.get(job.pageOf(task.index))?.busy) this.takeOff(task);
+    }
+  }
+
+  private machine(id: string): MachineState {
+    let machine = this.machines.get(id);
+    if (!machine) {
+      machine = new MachineState(id, this.options.clock());
+      this.machines.set(id, machine);
+    }
+    return machine;
+  }
+
+  private setJob(key: string, value: unknown, version: number): void {
+    const record = parseJobRecord(value);
+    if (!record || key !== `job/${record.spec.id}`) return;
+    const { spec, parts } = record;
+    const part = parts.findIndex((p) => p.block === this.options.block);
+    const range = parts[part];
+    const known = this.jobs.get(spec.id);
+    if (known) {
+      const same = range && range.first === known.range.first && range.count === known.range.count;
+      if (same && known.part === part && known.parts === parts.length) {
+        known.version = version;
+        return;
+      }
+      // The leader has placed the job anew, which it does only before anything of it has started.
+      this.withdraw(known);
+      this.jobs.delete(spec.id);
+    }
+    if (range) this.jobs.set(spec.id, JobState.of(spec, version, parts, part, this.options.perPage));
   }
 
   private addPage(key: string, value: unknown, version: number): void {
-    const [, id = '', number = ''] = key.split('/');
+    const run = parseRunKey(key);
     const page = parseRunPage(value);
-    if (!page) return;
-    let job = this.jobs.get(id);
+    if (!run || !page || page.block !== this.options.block) return;
+    let job = this.jobs.get(run.id);
     if (!job) {
-      job = JobState.leftover(id, page, this.options.perPage);
-      this.jobs.set(id, job);
-    }
-    for (const task of job.loadPage(Number(number), page, version)) {
-      // The machine itself is yet to be heard of; until then it holds the task's room and nothing else.
-      const place = { id: task.machine, type: '', zone: '', spot: false };
-      this.put(task, this.machine(place, this.options.clock()));
+      job = JobState.leftover(run.id, run.part, page, this.options.perPage);
+      this.jobs.set(run.id, job);
     }
+    for (const task of job.loadPage(run.page, page, version)) this.put(task, this.machine(task.machine));
   }
 }
 
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -1,5 +1,5 @@
 import type { JobSpec, Resources } from '../model/types.js';
-import type { End, RunPage } from '../wire/records.js';
+import type { End, Part, RunPage } from '../wire/records.js';
 import { fromRanges, toRanges } from '../wire/records.js';
 
 /**
@@ -27,48 +27,77 @@
   busy: boolean;
 }
 
-/** The tasks of one job. Tasks that never started exist only as numbers, so 100,000 of them cost little. */
+export interface JobFacts {
+  id: string;
+  spec: JobSpec | undefined;
+  team: string;
+  need: Resources;
+  /** Version of the job's record; it is gone once the job has ended. */
+  version: number;
+  /** Which of the job's parts this is, and how many there are. */
+  part: number;
+  parts: number;
+  range: Part;
+  perPage: number;
+}
+
+/**
+ * The part of a job that one block places: for most jobs all of it. Tasks that never started exist only as numbers,
+ * so 100,000 of them cost little.
+ */
 export class JobState {
+  readonly id: string;
+  readonly spec: JobSpec | undefined;
+  readonly team: string;
+  readonly need: Resources;
+  readonly part: number;
+  readonly parts: number;
+  readonly range: Part;
+  readonly perPage: number;
+  version: number;
   readonly tasks = new Map<number, Task>();
   readonly pages = new Map<number, PageState>();
-  readonly done: Uint8Array;
-  /** Completed and committed: only these may be forgotten by their machine. */
-  readonly doneCommitted: Uint8Array;
-  doneCount = 0;
+  private readonly doneFlags: Uint8Array;
+  private readonly committedFlags: Uint8Array;
+  private doneTotal = 0;
+  private committedTotal = 0;
   ended: End | undefined;
   /** The end is being committed. */
   ending = false;
-  jobVersion: number;
   /** No task of the job is started before then: it has failed lately. */
   retryAt = 0;
   failures = 0;
-  startedAny = false;
-  private fresh = 0;
+  private fresh: number;
   private activeCount = 0;
 
-  constructor(
-    readonly id: string,
-    readonly spec: JobSpec | undefined,
-    readonly team: string,
-    readonly need: Resources,
-    jobVersion: number,
-    readonly perPage: number,
-  ) {
-    this.jobVersion = jobVersion;
-    const size = spec?.tasks ?? 0;
-    this.done = new Uint8Array(size);
-    this.doneCommitted = new Uint8Array(size);
+  constructor(facts: JobFacts) {
+    this.id = facts.id;
+    this.spec = facts.spec;
+    this.team = facts.team;
+    this.need = facts.need;
+    this.part = facts.part;
+    this.parts = facts.parts;
+    this.range = facts.range;
+    this.perPage = facts.perPage;
+    this.version = facts.version;
+    this.fresh = facts.range.first;
+    this.doneFlags = new Uint8Array(facts.range.count);
+    this.committedFlags = new Uint8Array(facts.range.count);
   }
 
-  static fromSpec(spec: JobSpec, version: number, perPage: number): JobState {
-    const { cpus, accelerators, memoryGb } = spec;
-    return new JobState(spec.id, spec, spec.team, { cpus, accelerators, memoryGb }, version, perPage);
+  static of(spec: JobSpec, version: number, parts: Part[], part: number, perPage: number): JobState {
+    const { id, team, cpus, accelerators, memoryGb } = spec;
+    const range = parts[part] ?? { block: -1, first: 0, count: 0 };
+    const need = { cpus, accelerators, memoryGb };
+    return new JobState({ id, spec, team, need, version, part, parts: parts.length, range, perPage });
   }
 
   /** A job whose record has gone: it has ended, yet tasks of it may still be on machines. */
-  static leftover(id: string, page: RunPage, perPage: number): JobState {
-    const { cpus, accelerators, memoryGb } = page;
-    const job = new JobState(id, undefined, page.team, { cpus, accelerators, memoryGb }, 0, perPage);
+  static leftover(id: string, part: number, page: RunPage, perPage: number): JobState {
+    const { team, cpus, accelerators, memoryGb, block } = page;
+    const range = { block, first: 0, count: 0 };
+    const need = { cpus, accelerators, memoryGb };
+    const job = new JobState({ id, spec: undefined, team, need, version: 0, part, parts: 1, range, perPage });
     job.ended = 'cancelled';
     return job;
   }
@@ -77,31 +106,50 @@
     return this.activeCount;
   }
 
-  get running(): number {
-    let count = 0;
-    for (const task of this.tasks.values()) if (task.running) count++;
-    return count;
+  get doneCount(): number {
+    return this.doneTotal;
   }
 
+  /** All tasks of this part are done. */
   get complete(): boolean {
-    return this.spec !== undefined && this.doneCount === this.spec.tasks;
+    return this.spec !== undefined && this.doneTotal === this.range.count;
+  }
+
+  get completeCommitted(): boolean {
+    return this.spec !== undefined && this.committedTotal === this.range.count;
   }
 
   /** Tasks that neither run nor are done. */
   get waiting(): number {
     if (this.ended || !this.spec) return 0;
-    return this.spec.tasks - this.doneCount - this.activeCount;
+    return this.range.count - this.doneTotal - this.activeCount;
   }
 
-  loadPage(pageIndex: number, page: RunPage, version: number): Task[] {
-    this.pages.set(pageIndex, { version, dirt: 'clean', dirtySince: 0, busy: false });
-    for (const index of fromRanges(page.done)) {
-      if (index < this.done.length && !this.done[index]) {
-        this.done[index] = 1;
-        this.doneCommitted[index] = 1;
-        this.doneCount++;
+  isDone(index: number): boolean {
+    return this.doneFlags[index - this.range.first] === 1;
+  }
+
+  /** Only what is committed as done may be forgotten by its machine. */
+  isDoneCommitted(index: number): boolean {
+    return this.committedFlags[index - this.range.first] === 1;
+  }
+
+  commitDone(indices: number[]): void {
+    for (const index of indices) {
+      const at = index - this.range.first;
+      if (this.committedFlags[at] === 0) {
+        this.committedFlags[at] = 1;
+        this.committedTotal++;
       }
     }
+  }
+
+  loadPage(pageIndex: number, page: RunPage, version: number): Task[] {
+    this.pages.set(pageIndex, { version, dirt: 'clean', dirtySince: 0, busy: false });
+    const done = [...fromRanges(page.done)].filter((index) => this.holds(index) && !this.isDone(index));
+    for (const index of done) this.doneFlags[index - this.range.first] = 1;
+    this.doneTotal += done.length;
+    this.commitDone(done);
     for (const [index, attempt] of page.waiting) this.touch(index, attempt);
     const active: Task[] = [];
     for (const [index, attempt, machine] of page.active) {
@@ -115,15 +163,14 @@
   /** The next task to start, without taking it: a returned one first, else one that never started. */
   next(): Task | undefined {
     for (const task of this.tasks.values()) if (task.phase === 'waiting') return task;
-    const size = this.spec?.tasks ?? 0;
-    while (this.fresh < size && (this.done[this.fresh] || this.tasks.has(this.fresh))) this.fresh++;
-    return this.fresh < size ? this.touch(this.fresh, 0) : undefined;
+    const end = this.range.first + this.range.count;
+    while (this.fresh < end && (this.isDone(this.fresh) || this.tasks.has(this.fresh))) this.fresh++;
+    return this.fresh < end ? this.touch(this.fresh, 0) : undefined;
   }
 
   place(task: Task, machine: string, now: number): void {
     task.attempt++;
     this.assign(task, machine, 'placing');
-    this.startedAny = true;
     this.soil(task.index, 'now', now);
   }
 
@@ -138,27 +185,30 @@
   }
 
   finish(index: number, now: number): boolean {
-    if (index >= this.done.length || this.done[index]) return false;
+    if (!this.holds(index) || this.isDone(index)) return false;
     const task = this.tasks.get(index);
     if (task && task.phase !== 'waiting') this.activeCount--;
     this.tasks.delete(index);
-    this.done[index] = 1;
-    this.doneCount++;
+    this.doneFlags[index - this.range.first] = 1;
+    this.doneTotal++;
     this.failures = 0;
     this.soil(index, this.complete ? 'now' : 'soon', now);
     return true;
   }
 
   pageOf(index: number): number {
-    return Math.floor(index / this.perPage);
+    return Math.floor((index - this.range.first) / this.perPage);
   }
 
   soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
-    const number = this.pageOf(index);
-    let page = this.pages.get(number);
+    this.soilPage(this.pageOf(index), dirt, now);
+  }
+
+  soilPage(pageIndex: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
+    let page = this.pages.get(pageIndex);
     if (!page) {
       page = { version: 0, dirt: 'clean', dirtySince: now, busy: false };
-      this.pages.set(number, page);
+      this.pages.set(pageIndex, page);
     }
     if (page.dirt === 'clean') page.dirtySince = now;
     if (page.dirt !== 'now') page.dirt = dirt;
@@ -166,14 +216,13 @@
 
   /** The page as it should stand in the store, with the tasks that its commit would turn from placing to placed. */
   snapshot(pageIndex: number): { page: RunPage; placing: Task[]; done: number[] } {
-    const first = pageIndex * this.perPage;
-    const last = first + this.perPage;
+    const first = this.range.first + pageIndex * this.perPage;
+    const last = Math.min(first + this.perPage, this.range.first + this.range.count);
     const placing: Task[] = [];
     const active: RunPage['active'] = [];
     const waiting: RunPage['waiting'] = [];
     const done: number[] = [];
-    for (let index = first; index < last && index < this.done.length; index++)
-      if (this.done[index]) done.push(index);
+    for (let index = first; index < last; index++) if (this.isDone(index)) done.push(index);
     for (const task of this.tasks.values()) {
       if (task.index < first || task.index >= last) continue;
       if (task.phase === 'waiting') {
@@ -183,8 +232,16 @@
       active.push([task.index, task.attempt, task.machine]);
       if (task.phase === 'placing') placing.push(task);
     }
-    const page: RunPage = { team: this.team, ...this.need, active, waiting, done: toRanges(done) };
-    return { page, placing, done };
+    const { team, need, range } = this;
+    return {
+      page: { block: range.block, team, ...need, active, waiting, done: toRanges(done) },
+      placing,
+      done,
+    };
+  }
+
+  private holds(index: number): boolean {
+    return index >= this.range.first && index < this.range.first + this.range.count;
   }
 
   private touch(index: number, attempt: number): Task {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -1,4 +1,11 @@
-import { type MachineType, type Resources, type Urgency, fits, withinLimit } from '../model/types.js';
+import {
+  type JobSpec,
+  type MachineType,
+  type Resources,
+  type Urgency,
+  fits,
+  withinLimit,
+} from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 import type { MachineState } from '../workers/machine-state.js';
 import type { JobState, Task } from './job-state.js';
@@ -8,7 +15,8 @@
   jobs: Iterable<JobState>;
   machines: Iterable<MachineState>;
   types: ReadonlyMap<string, MachineType>;
-  teams: ReadonlyMap<string, Team>;
+  /** The team with what this block may use of its limits. */
+  team: (name: string) => Team | undefined;
   usage: Usage;
   /** How many tasks may be placed at most: what one round of commits can carry. */
   most: number;
@@ -52,18 +60,12 @@
 const ranks: Record<Urgency, number> = { production: 0, high: 1, standard: 2, best_effort: 3 };
 
 /** More urgent first; among equals, whoever must start soonest to meet its deadline, then the oldest. */
-export function byOrderOfWork(a: JobState, b: JobState): number {
-  const x = a.spec;
-  const y = b.spec;
-  if (!x || !y) return x ? -1 : 1;
-  return (
-    ranks[x.urgency] - ranks[y.urgency] ||
-    latestStart(x) - latestStart(y) ||
-    (x.id < y.id ? -1 : x.id > y.id ? 1 : 0)
-  );
+export function byOrderOfWork(x: JobSpec, y: JobSpec): number {
+  const age = x.id < y.id ? -1 : x.id > y.id ? 1 : 0;
+  return ranks[x.urgency] - ranks[y.urgency] || latestStart(x) - latestStart(y) || age;
 }
 
-function latestStart(spec: { acceptedAt: number; deadlineS: number | null; estimateS: number }): number {
+function latestStart(spec: JobSpec): number {
   // Work without a deadline counts as due when its estimate has passed once over.
   const dueS = spec.deadlineS ?? spec.estimateS;
   return spec.acceptedAt + (dueS - spec.estimateS) * 1000;
@@ -80,24 +82,25 @@
     .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
   const waiting = [...facts.jobs]
     .filter((job) => job.waiting > 0 && !job.ending && job.retryAt <= facts.now)
-    .sort(byOrderOfWork);
-  for (const job of waiting) {
-    const spec = job.spec;
-    const team = facts.teams.get(job.team);
-    if (!spec) continue;
+    .map((job) => ({ job, spec: job.spec }))
+    .filter((entry): entry is { job: JobState; spec: JobSpec } => entry.spec !== undefined)
+    .sort((a, b) => byOrderOfWork(a.spec, b.spec));
+  for (const { job, spec } of waiting) {
+    const team = facts.team(job.team);
     const zones = zonesInUse(job, facts.machines);
     const half = Math.ceil(spec.tasks / 2);
-    const candidates = rooms.filter(
+    let candidates = rooms.filter(
       ({ machine }) =>
         (spec.types === null || spec.types.includes(machine.place.type)) &&
         (spec.zone === null || spec.zone === machine.place.zone) &&
         (spec.spot || !machine.place.spot),
     );
-    // Cheap machines first for work that may use them; then a machine that has the image.
+    // Work that may use cheap machines leaves ordinary ones to work that may not, as long as there are cheap ones.
+    const cheap = spec.spot ? candidates.filter(({ machine }) => machine.place.spot) : [];
+    if (cheap.length > 0) candidates = cheap;
+    // A machine that has the image starts the task at once.
     candidates.sort(
-      (a, b) =>
-        Number(b.machine.place.spot) - Number(a.machine.place.spot) ||
-        Number(b.machine.images.has(spec.image)) - Number(a.machine.images.has(spec.image)),
+      (a, b) => Number(b.machine.images.has(spec.image)) - Number(a.machine.images.has(spec.image)),
     );
     let left = job.waiting;
     while (left > 0 && choices.length < facts.most && facts.usage.admits(team, job.need)) {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,15 +1,15 @@
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
-import type { Term } from '../leadership/term.js';
 import type { MachineType } from '../model/types.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import { blockKey, endKey, endRecord, jobKey, runKey } from '../wire/records.js';
-import type { Condition, Write } from '../wire/state.js';
+import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../workers/machine-state.js';
 import type { Board } from './board.js';
+import type { Census } from './census.js';
 import type { JobState, PageState } from './job-state.js';
 import { plan } from './plan.js';
 
@@ -20,7 +20,9 @@
   store: StoreClient;
   commits: CommitStage;
   board: Board;
-  term: Term;
+  /** Ends with the lease of the block. */
+  signal: AbortSignal;
+  census: Census;
   types: () => ReadonlyMap<string, MachineType>;
 }
 
@@ -31,6 +33,7 @@
 /** Places waiting tasks and keeps the store in step with the board, intents first. */
 export class Scheduler {
   private wanted = true;
+  private rejectedVersion = -1;
 
   constructor(private readonly ports: SchedulerPorts) {}
 
@@ -43,9 +46,9 @@
   usable(machine: MachineState): boolean {
     const { clock, settings } = this.ports;
     return (
-      machine.status === 'up' &&
       machine.reconciled &&
-      !machine.draining &&
+      machine.releasing === '' &&
+      !machine.leaving &&
       !machine.faulty &&
       machine.notice === null &&
       clock() - machine.lastSeen < settings.reportMs * 1.6
@@ -53,11 +56,11 @@
   }
 
   async run(): Promise<void> {
-    const { term, store } = this.ports;
+    const { signal, store } = this.ports;
     let rounds = 0;
-    while (!term.signal.aborted) {
-      await sleep(tickMs, term.signal);
-      if (term.signal.aborted) return;
+    while (!signal.aborted) {
+      await sleep(tickMs, signal);
+      if (signal.aborted) return;
       // Machines and pauses become usable with time alone, so a round comes once a second in any case.
       if ((this.wanted || rounds++ % 10 === 0) && !store.failing) {
         this.wanted = false;
@@ -74,7 +77,10 @@
       jobs: board.jobs.values(),
       machines: board.machines.values(),
       types: types(),
-      teams: settings.teams,
+      team: (name) => {
+        const team = settings.teams.get(name);
+        return team && board.limitsOf(team);
+      },
       usage: board.usage(),
       most: settings.state.txnOps * roundTransactions,
       usable: (machine) => this.usable(machine),
@@ -83,107 +89,116 @@
   }
 
   private persist(): void {
-    const { board, clock, settings, commits } = this.ports;
-    const now = clock();
+    const { board, commits } = this.ports;
+    // The store knows the block under another version; nothing can be committed until the watch brings it.
+    if (board.version === this.rejectedVersion) return;
     for (const job of board.jobs.values()) {
       if (commits.full) return;
       if (job.ending || [...job.pages.values()].some((p) => p.busy)) continue;
-      if (job.complete && !job.ended) void this.commitDone(job);
-      else if (job.ended) {
+      if (job.ended) {
         if (job.active === 0) void this.dropPages(job);
-      } else {
-        for (const [index, page] of job.pages) {
-          const due =
-            page.dirt === 'now' || (page.dirt === 'soon' && now - page.dirtySince > settings.leaseMs / 2);
-          if (due && !commits.full) void this.commitPage(job, index, page);
-        }
-      }
+      } else if (job.complete && this.othersComplete(job)) void this.commitDone(job);
+      else this.persistPages(job);
+    }
+  }
+
+  private persistPages(job: JobState): void {
+    const { clock, settings, commits } = this.ports;
+    for (const [index, page] of job.pages) {
+      const due =
+        page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > settings.leaseMs / 2);
+      if (due && !commits.full) void this.commitPage(job, index, page);
     }
   }
 
+  /** Completed tasks stay so, which is why a late view of the other blocks' pages is enough. */
+  private othersComplete(job: JobState): boolean {
+    if (job.parts === 1) return true;
+    if (!job.completeCommitted || !job.spec) return false;
+    return this.ports.census.progress(job.id).done === job.spec.tasks;
+  }
+
   private get block(): Condition {
-    return { key: blockKey, version: this.ports.term.token };
+    return { key: blockKey(this.ports.board.block), version: this.ports.board.version };
   }
 
   /** Intent before action: only what this commit has confirmed may be sent to a machine. */
   private async commitPage(job: JobState, index: number, state: PageState): Promise<void> {
-    const { board, commits } = this.ports;
+    const { board, commits, clock } = this.ports;
+    const { block } = this;
     const { page, placing, done } = job.snapshot(index);
-    const key = runKey(job.id, index);
+    const key = runKey(job.id, job.part, index);
     state.busy = true;
     state.dirt = 'clean';
+    // The job's record goes with its end, so its version says that the job is open, and placed as we know it.
     const outcome = await commits.commit(
-      [this.block, { key, version: state.version }, { key: endKey(job.id), version: 0 }],
+      [block, { key, version: state.version }, { key: jobKey(job.id), version: job.version }],
       [{ put: key, value: page }],
     );
     state.busy = false;
     if (outcome.kind === 'applied') {
       state.version = outcome.revision;
       for (const task of placing) if (task.phase === 'placing') task.phase = 'placed';
-      for (const n of done) job.doneCommitted[n] = 1;
+      job.commitDone(done);
       return;
     }
-    job.soil(index, 'now', this.ports.clock());
-    if (outcome.kind === 'conflict' && outcome.failed.includes(endKey(job.id))) {
-      // The watch will bring the end; until then nothing of the job may start. Its tasks are on no machine yet.
-      job.retryAt = Infinity;
+    job.soilPage(index, 'now', clock());
+    if (outcome.kind === 'conflict' && outcome.failed.includes(jobKey(job.id))) {
+      // Ended, or placed anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
       for (const task of placing) if (task.phase === 'placing') board.takeOff(task);
+      job.retryAt = clock() + this.ports.settings.reportMs / 2;
       return;
     }
-    await this.settle(outcome, key, state);
+    await this.settle(outcome, block, key, state);
   }
 
   private async commitDone(job: JobState): Promise<void> {
-    const { board, commits, settings, clock } = this.ports;
+    const { commits, board, settings, signal, clock } = this.ports;
+    const { block } = this;
     job.ending = true;
     const drops = [...job.pages.keys()].slice(0, settings.state.txnOps - 2);
-    const writes: Write[] = [
-      { put: endKey(job.id), value: endRecord('done', job.doneCount) },
-      { drop: jobKey(job.id) },
-      ...drops.map((page) => ({ drop: runKey(job.id, page) })),
-    ];
     const outcome = await commits.commit(
-      [this.block, { key: endKey(job.id), version: 0 }, { key: jobKey(job.id), version: job.jobVersion }],
-      writes,
+      [block, { key: endKey(job.id), version: 0 }, { key: jobKey(job.id), version: job.version }],
+      [
+        { put: endKey(job.id), value: endRecord('done', job.spec?.tasks ?? job.doneCount) },
+        { drop: jobKey(job.id) },
+        ...drops.map((page) => ({ drop: runKey(job.id, job.part, page) })),
+      ],
     );
-    job.ending = false;
     if (outcome.kind === 'applied') {
       board.endJob(job, 'done');
       for (const page of drops) job.pages.delete(page);
-      return;
-    }
-    // Either the commit or a user's cancel has ended the job: the watch tells which. Till then, ask no more often
-    // than that takes.
-    if (outcome.kind === 'unknown' || outcome.kind === 'conflict') {
-      job.ending = true;
-      await sleep(settings.reportMs, this.ports.term.signal);
-      job.ending = false;
+    } else {
+      this.checkBlock(outcome, block);
+      // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
+      if (outcome.kind !== 'refused') await sleep(settings.reportMs / 4, signal);
+      job.retryAt = clock();
     }
-    job.retryAt = clock();
-    this.checkBlock(outcome);
+    job.ending = false;
   }
 
   /** An ended job with no task on any machine needs no record of its run. */
   private async dropPages(job: JobState): Promise<void> {
     const { board, commits, settings } = this.ports;
-    const drops = [...job.pages.entries()].slice(0, settings.state.txnOps);
+    const { block } = this;
+    const drops = [...job.pages.keys()].slice(0, settings.state.txnOps);
     if (drops.length === 0) {
       board.jobs.delete(job.id);
       return;
     }
     job.ending = true;
     const outcome = await commits.commit(
-      [this.block],
-      drops.map(([page]) => ({ drop: runKey(job.id, page) })),
+      [block],
+      drops.map((page) => ({ drop: runKey(job.id, job.part, page) })),
     );
     job.ending = false;
-    if (outcome.kind === 'applied') for (const [page] of drops) job.pages.delete(page);
-    else this.checkBlock(outcome);
+    if (outcome.kind === 'applied') for (const page of drops) job.pages.delete(page);
+    else this.checkBlock(outcome, block);
   }
 
-  private checkBlock(outcome: CommitOutcome): void {
-    if (outcome.kind === 'conflict' && outcome.failed.includes(blockKey))
-      this.ports.term.end('block leased to another');
+  private checkBlock(outcome: CommitOutcome, block: Condition): void {
+    if (outcome.kind === 'conflict' && outcome.failed.includes(block.key))
+      this.rejectedVersion = block.version;
   }
 
   /**
@@ -191,10 +206,16 @@
    * whatever version it has now came from one of our own commits, and the next one is built on it. An older one that
    * is still on its way is conditioned on a version that is gone by then.
    */
-  private async settle(outcome: CommitOutcome, key: string, state: PageState): Promise<void> {
-    const { store, term, log } = this.ports;
-    this.checkBlock(outcome);
-    if (term.signal.aborted || outcome.kind === 'refused') return;
+  private async settle(
+    outcome: CommitOutcome,
+    block: Condition,
+    key: string,
+    state: PageState,
+  ): Promise<void> {
+    const { store, signal, log } = this.ports;
+    this.checkBlock(outcome, block);
+    if (signal.aborted || outcome.kind === 'refused') return;
+    if (outcome.kind === 'conflict' && !outcome.failed.includes(key)) return;
     state.busy = true;
     try {
       state.version = (await store.read(key))?.version ?? 0;
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -15,7 +15,8 @@
     }),
     {},
   ),
-  leadership: v.optional(v.strictObject({ grantReports: v.optional(ratio, 1.6) }), {}),
+  blocks: v.optional(v.strictObject({ periodS: v.optional(ratio, 30) }), {}),
+  leadership: v.optional(v.strictObject({ grantReports: v.optional(ratio, 2.4) }), {}),
   workers: v.optional(
     v.strictObject({ silentReports: v.optional(ratio, 3), bootTimes: v.optional(ratio, 3) }),
     {},
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -41,8 +41,8 @@
 
 /** Shares of the limits, which hold for all controllers together; the whole stays below them. */
 const shares = {
-  requests: { intakeAll: 0.4, leaderDuty: 0.3, followersDuty: 0.2 },
-  writes: { intakeAll: 0.38, leaderDuty: 0.48, followersDuty: 0.04 },
+  requests: { intakeAll: 0.35, leaderDuty: 0.23, followersDuty: 0.34 },
+  writes: { intakeAll: 0.28, leaderDuty: 0.26, followersDuty: 0.38 },
 };
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -4,11 +4,18 @@
 /** The values we keep in the state service, under our own names: these are read by our own processes only. */
 
 export const leadKey = 'lead';
-/** The one block of this version: all machines, leased to the leader. */
-export const blockKey = 'block/0';
+export const aliveKey = (label: string): string => `alive/${label}`;
+export const blockKey = (block: number): string => `block/${block}`;
+export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
 export const endKey = (id: string): string => `end/${id}`;
-export const runKey = (id: string, page: number): string => `run/${id}/${page}`;
+export const runKey = (id: string, part: number, page: number): string => `run/${id}/${part}/${page}`;
+
+export function parseRunKey(key: string): { id: string; part: number; page: number } | undefined {
+  const [root, id, part, page] = key.split('/');
+  if (root !== 'run' || id === undefined || page === undefined) return undefined;
+  return { id, part: Number(part), page: Number(page) };
+}
 
 export interface LeadRecord {
   label: string;
@@ -25,8 +32,69 @@
   return { label: text(value['label']), boot: text(value['boot']), serial: number(value['serial']) };
 }
 
-export function blockRecord(owner: LeadRecord): unknown {
-  return { owner: owner.label, boot: owner.boot, serial: owner.serial, machines: 'all' };
+/** A machine as its block's record names it. */
+export interface LeasedMachine {
+  id: string;
+  /** The revision of the commit that leased it to its present owner. */
+  token: number;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Nothing more may be placed on it: it is about to be given back or leased to another. */
+  leaving: boolean;
+  /** Time of day of its rental in ms, as far as known. */
+  since: number;
+}
+
+/** What a team's tasks in one block may use; a missing entry means that the team has no limit. */
+export type Shares = Record<string, [cpus: number, accelerators: number]>;
+
+export interface BlockRecord {
+  owner: string;
+  /** The life of the owner's process that it is leased to: a later life renews the lease, and with it the tokens. */
+  boot: string;
+  machines: LeasedMachine[];
+  shares: Shares;
+}
+
+/** In the store, a token of 0 stands for the revision of the record itself: nobody knows it before the commit. */
+export const tokenOfThisCommit = 0;
+
+export function parseBlock(value: unknown, version: number): BlockRecord | undefined {
+  if (!isFields(value)) return undefined;
+  const shares: Shares = {};
+  if (isFields(value['shares'])) {
+    for (const [team, share] of Object.entries(value['shares'])) {
+      const [cpus, accelerators] = list(share);
+      shares[team] = [number(cpus), number(accelerators)];
+    }
+  }
+  return {
+    owner: text(value['owner']),
+    boot: text(value['boot']),
+    shares,
+    machines: list(value['machines'])
+      .filter(isFields)
+      .map((m) => ({
+        id: text(m['id']),
+        token: number(m['token']) === tokenOfThisCommit ? version : number(m['token']),
+        type: text(m['type']),
+        zone: text(m['zone']),
+        spot: m['spot'] === true,
+        leaving: m['leaving'] === true,
+        since: number(m['since']),
+      })),
+  };
+}
+
+export interface AliveRecord {
+  boot: string;
+  zone: string;
+}
+
+export function parseAlive(value: unknown): AliveRecord | undefined {
+  if (!isFields(value)) return undefined;
+  return { boot: text(value['boot']), zone: text(value['zone']) };
 }
 
 export type End = 'done' | 'cancelled';
@@ -42,12 +110,38 @@
   return end === 'done' || end === 'cancelled' ? { end, tasks: number(tasks) } : undefined;
 }
 
-export function parseJobRecord(value: unknown): JobSpec | undefined {
-  return isFields(value) && typeof value['id'] === 'string' ? (value as unknown as JobSpec) : undefined;
+/** A run of consecutive tasks of a job that one block places. */
+export interface Part {
+  block: number;
+  first: number;
+  count: number;
+}
+
+export interface JobRecord {
+  spec: JobSpec;
+  /** Empty: too big for the room of any one block, so the leader has yet to place it whole. */
+  parts: Part[];
+}
+
+export function jobRecord(job: JobRecord): unknown {
+  return { spec: job.spec, parts: job.parts.map((p) => [p.block, p.first, p.count]) };
+}
+
+export function parseJobRecord(value: unknown): JobRecord | undefined {
+  if (!isFields(value) || !isFields(value['spec']) || typeof value['spec']['id'] !== 'string')
+    return undefined;
+  return {
+    spec: value['spec'] as unknown as JobSpec,
+    parts: list(value['parts']).map((part) => {
+      const [block, first, count] = list(part);
+      return { block: number(block), first: number(first), count: number(count) };
+    }),
+  };
 }
 
 /** One page of a job's tasks. What is in none of the lists has never been started. */
 export interface RunPage {
+  block: number;
   /** Team and resources, so that tasks still on machines count after the job record has gone. */
   team: string;
   cpus: number;
@@ -64,6 +158,7 @@
 export function parseRunPage(value: unknown): RunPage | undefined {
   if (!isFields(value)) return undefined;
   return {
+    block: number(value['block']),
     team: text(value['team']),
     cpus: number(value['cpus']),
     accelerators: number(value['accelerators']),
@@ -102,3 +197,9 @@
     for (let n = ranges[i] ?? 0; n <= (ranges[i + 1] ?? -1); n++) yield n;
   }
 }
+
+export function rangesSize(ranges: number[]): number {
+  let size = 0;
+  for (let i = 0; i + 1 < ranges.length; i += 2) size += (ranges[i + 1] ?? 0) - (ranges[i] ?? 0) + 1;
+  return size;
+}
--- /dev/null
+++ b/src/workers/custody.ts
@@ -0,0 +1,70 @@
+import type { Clock } from '../base/clock.js';
+import { sleep } from '../base/clock.js';
+import type { Log } from '../base/log.js';
+import { type CloudClient, releaseLimit } from '../cloud/client.js';
+import type { MachineType } from '../model/types.js';
+import type { Board } from '../placement/board.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { Settings } from '../settings/settings.js';
+import { silentMachines } from './silence.js';
+
+export interface CustodyPorts {
+  clock: Clock;
+  log: Log;
+  settings: Settings;
+  operator: OperatorSettings;
+  cloud: CloudClient;
+  board: Board;
+  signal: AbortSignal;
+  types: () => ReadonlyMap<string, MachineType>;
+  /** Machines were proven gone, so their tasks wait again. */
+  onFreed: () => void;
+}
+
+const tickMs = 500;
+
+/**
+ * The owner's care for the machines of its block: it lets go of those that are silent, never came up, or fail the
+ * tasks of different jobs. The cloud's answer to the release is what proves that their tasks are gone.
+ */
+export class Custody {
+  constructor(private readonly ports: CustodyPorts) {}
+
+  async run(): Promise<void> {
+    const { board, cloud, signal, log, onFreed } = this.ports;
+    while (!signal.aborted) {
+      this.judge();
+      const due = [...board.machines.values()].filter((m) => m.releasing !== '').slice(0, releaseLimit);
+      if (due.length > 0 && (await cloud.release(due.map((m) => m.id)))) {
+        for (const machine of due) {
+          const lost = board.remove(machine.id);
+          const { id, place, releasing } = machine;
+          log.info(
+            { event: 'let-go', machine: id, type: place.type, why: releasing, tasks: lost.length },
+            'let go',
+          );
+        }
+        onFreed();
+      }
+      await sleep(tickMs, signal);
+    }
+  }
+
+  private judge(): void {
+    const { board, clock, settings, operator, types } = this.ports;
+    const now = clock();
+    const machines = [...board.machines.values()].filter((m) => m.releasing === '');
+    for (const machine of machines) {
+      const bootMs = (types().get(machine.place.type)?.bootS ?? 0) * 1000 * operator.workers.bootTimes;
+      const patience = Math.max(bootMs, settings.leaseMs * 2);
+      if (!machine.seen && machine.tasks.size === 0 && now - machine.leasedAt > patience) {
+        machine.releasing = 'never came up';
+      }
+      if (machine.faulty && machine.tasks.size === 0 && machine.strays.length === 0)
+        machine.releasing = 'faulty';
+    }
+    for (const machine of silentMachines(machines, now, settings, operator.workers.silentReports)) {
+      machine.releasing = 'silent';
+    }
+  }
+}
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,30 +1,22 @@
-import type { Reply, Route } from '../base/web.js';
 import type { Clock } from '../base/clock.js';
-import type { Log } from '../base/log.js';
+import type { Reply, Route } from '../base/web.js';
+import type { Registry } from '../blocks/registry.js';
+import type { Tenancy } from '../blocks/tenancy.js';
 import { type AnsweringFacts, answerUntil, peerIsServed } from '../leadership/answering.js';
-import type { Term } from '../leadership/term.js';
-import type { Board } from '../placement/board.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
 
-/** The running term with its board; the board is missing until the mirror has caught up with the term. */
-export interface Duty {
-  term: Term;
-  board: Board | undefined;
-}
-
 export interface DeskPorts {
   clock: Clock;
-  log: Log;
   label: string;
-  duty: () => Duty | undefined;
+  tenancy: Tenancy;
+  registry: Registry;
   leader: () => string | undefined;
   storeFailing: () => boolean;
   answering: () => AnsweringFacts;
-  /** Something was learned that may let a task start. */
-  onNews: () => void;
+  grantTtlMs: number;
 }
 
-/** Answers workers' reports: whoever is not entitled to act for the controllers sends them on. */
+/** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
 export class WorkerDesk {
   constructor(private readonly ports: DeskPorts) {}
 
@@ -35,33 +27,30 @@
   };
 
   receive(body: unknown): Reply {
-    const { ports } = this;
+    const { tenancy, storeFailing, answering, grantTtlMs } = this.ports;
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
-    const duty = ports.duty();
-    if (!duty || duty.term.signal.aborted) return this.sendOn();
-    const { term, board } = duty;
-    const facts = ports.answering();
+    const found = tenancy.find(report.machine);
+    if (!found) return this.sendOn(report.machine);
+    const facts = answering();
     // Without the store we cannot know whom users were told is cancelled, so leases must run out in time.
-    if (facts.now > answerUntil(facts) || peerIsServed(facts, term.ttlMs)) {
+    if (facts.now > answerUntil(facts) || peerIsServed(facts, grantTtlMs)) {
       return { status: 421, body: redirectAnswer(undefined) };
     }
-    if (report.token > term.token) {
-      term.end('a worker knows a higher token');
-      return { status: 421, body: redirectAnswer(undefined) };
-    }
-    if (!board) return { status: 200, body: reportAnswer(term.token, []) };
-    if (board.isGone(report.machine)) return { status: 503, body: redirectAnswer(undefined) };
-    const result = board.report(report, !ports.storeFailing());
-    if (result.findings.length > 0 || result.verdict === 'reconciled') ports.onNews();
-    return { status: 200, body: reportAnswer(term.token, result.orders) };
+    const { board, machine } = found;
+    const result = board.report(machine, report, !storeFailing());
+    // Somebody has leased the machine after us, and the watch has yet to tell us.
+    if (result.verdict === 'outranked') return { status: 421, body: redirectAnswer(undefined) };
+    if (result.verdict === 'reconciled') tenancy.poke();
+    return { status: 200, body: reportAnswer(machine.token, result.orders) };
   }
 
-  private sendOn(): Reply {
-    const leader = this.ports.leader();
-    if (leader === undefined || leader === this.ports.label) {
-      return { status: 503, body: redirectAnswer(undefined) };
-    }
-    return { status: 421, body: redirectAnswer(leader) };
+  private sendOn(machine: string): Reply {
+    const { registry, leader, label } = this.ports;
+    // A machine in no block has the leader to hear of it; the list will, too.
+    const to = registry.ownerOf(machine) ?? leader();
+    return to === undefined || to === label
+      ? { status: 503, body: redirectAnswer(undefined) }
+      : { status: 421, body: redirectAnswer(to) };
   }
 }
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -1,9 +1,7 @@
 import type { MachineType, ReportedTask, Resources } from '../model/types.js';
 import type { Task } from '../placement/job-state.js';
 
-export type MachineStatus = 'booting' | 'up' | 'releasing';
-
-export interface Placement {
+export interface Place {
   id: string;
   type: string;
   zone: string;
@@ -12,16 +10,27 @@
 
 /** One rented machine as its block's owner sees it. */
 export class MachineState {
-  status: MachineStatus = 'booting';
+  place: Place;
+  /** What entitles us to command it; a worker that has seen it drops everything older. */
+  token = 0;
   address = '';
   session = 0;
   seq = -1;
   /** Its last report carried our token: what it says counts as truth. */
   reconciled = false;
-  draining = false;
+  /** It has reported to this owner. */
+  seen = false;
+  /** To be given back or leased to another: nothing more is placed on it. */
+  leaving = false;
   faulty = false;
+  /** Its release has been decided; the cloud's answer will be the proof that it is gone. */
+  releasing = '';
   notice: number | null = null;
-  everSeen = false;
+  /** Time of day of its rental. */
+  since = 0;
+  /** The last sign of life, or when we began to expect one. */
+  lastSeen: number;
+  readonly leasedAt: number;
   /** Tasks that are on it, or that it may have been told to start, or that are about to be placed on it. */
   readonly tasks = new Map<string, Task>();
   /** Reported tasks that it should not have, until they are gone: they still take room. */
@@ -29,20 +38,20 @@
   readonly images = new Set<string>();
   readonly failedJobs = new Set<string>();
 
-  constructor(
-    public place: Placement,
-    /** When it was rented, as far as known. */
-    public rentedAt: number,
-    /** The last sign of life, or when we began to expect one. */
-    public lastSeen: number,
-  ) {}
+  constructor(id: string, now: number) {
+    this.place = { id, type: '', zone: '', spot: false };
+    this.lastSeen = now;
+    this.leasedAt = now;
+  }
 
   get id(): string {
     return this.place.id;
   }
 
-  get idle(): boolean {
-    return this.tasks.size === 0 && this.strays.length === 0;
+  setToken(token: number): void {
+    if (token === this.token) return;
+    this.token = token;
+    this.reconciled = false;
   }
 
   free(type: MachineType): Resources {
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -16,7 +16,6 @@
 }
 
 export interface ReconcileFacts {
-  token: number;
   now: number;
   jobs: ReadonlyMap<string, JobState>;
   /** False while nothing may be started, for instance without the state service. */
@@ -29,7 +28,7 @@
 export function reconcile(machine: MachineState, report: Report, facts: ReconcileFacts): Reconciliation {
   const findings: Finding[] = [];
   const orders: Order[] = [];
-  if (report.token > facts.token) return { verdict: 'outranked', findings, orders };
+  if (report.token > machine.token) return { verdict: 'outranked', findings, orders };
   const newer =
     report.session > machine.session || (report.session === machine.session && report.seq > machine.seq);
   // Held back by a cut and overtaken by a later report: its task list is history.
@@ -37,12 +36,11 @@
   machine.session = report.session;
   machine.seq = report.seq;
   machine.lastSeen = facts.now;
-  machine.everSeen = true;
+  machine.seen = true;
   machine.address = report.address;
   machine.notice = report.noticeS;
-  if (machine.status === 'booting') machine.status = 'up';
   // Until it has seen our token, a command of an earlier owner may still reach it.
-  machine.reconciled = report.token === facts.token;
+  machine.reconciled = report.token === machine.token;
   if (!machine.reconciled) return { verdict: 'unreconciled', findings, orders };
 
   const reported = new Map<string, ReportedTask[]>();
@@ -95,9 +93,9 @@
   const isIntent = intent !== undefined && intent.phase !== 'placing' && intent.attempt === attempt;
   if (reported.state === 'ended') {
     const open = job !== undefined && job.ended === undefined;
-    if (open && reported.cause === 'done' && !job.doneCommitted[index]) {
+    if (open && reported.cause === 'done' && !job.isDoneCommitted(index)) {
       // Whichever attempt completed it, the task is complete; it is forgotten once that is committed.
-      if (!job.done[index]) findings.push({ kind: 'completed', job, index });
+      if (!job.isDone(index)) findings.push({ kind: 'completed', job, index });
       return;
     }
     if (!isIntent || reported.cause !== 'done' || !open)
--- a/src/ladder/silence.ts
+++ b/src/workers/silence.ts
@@ -1,5 +1,5 @@
 import type { Settings } from '../settings/settings.js';
-import type { MachineState } from '../workers/machine-state.js';
+import type { MachineState } from './machine-state.js';
 
 /** A zone in which more than this share of the machines falls silent at once has most likely lost its network. */
 const zoneShare = 0.7;
@@ -18,7 +18,7 @@
   const limit = settings.reportMs * silentReports;
   const leaseOver = settings.leaseMs + settings.reportMs;
   // Machines that only the intents of an earlier term speak of count too: nothing else would ever prove them gone.
-  const known = machines.filter((m) => m.status !== 'releasing' && (m.everSeen || m.tasks.size > 0));
+  const known = machines.filter((m) => m.seen || m.tasks.size > 0);
   const silentFor = (m: MachineState): number => now - m.lastSeen;
   const cutOff = (zone: string): boolean => {
     const inZone = known.filter((m) => m.place.zone === zone);
