Deal jobs to blocks as room appears; ends and dealt ranges made safe

Cause: tasks waited in the block they were first given to while others had room. The leader now deals what no block has room for, in the order of work.

--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -12,15 +12,16 @@
 import type { Mirror } from '../store/mirror.js';
 import {
   type BlockRecord,
+  type Part,
   type Shares,
   blockKey,
   jobKey,
   jobRecord,
   leadKey,
-  runKey,
+  tasksPerPage,
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { roomsFor, spread, usedByMachine } from './homing.js';
+import { Rooms, bound } from './rooms.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import type { Registry } from './registry.js';
 import { type TeamDemand, nextShares } from './shares.js';
@@ -39,11 +40,11 @@
   types: () => ReadonlyMap<string, MachineType>;
   periodMs: number;
   boot: string;
+  /** See the blocks' rooms. */
+  lookahead: number;
 }
 
 const tickMs = 200;
-/** Jobs of which nothing has started are placed anew at most this often, in report intervals. */
-const replaceEvery = 1;
 
 /** The leader's leasing of machines, of shares of the teams' limits, and of jobs too big for one block. */
 export class Landlord {
@@ -51,7 +52,7 @@
   private committed = 0;
   private sharesAt = -Infinity;
   private readonly aliveSince = new Map<string, number>();
-  private replacedAt = 0;
+  private takenBackAt = 0;
 
   constructor(private readonly ports: LandlordPorts) {}
 
@@ -62,7 +63,7 @@
       if (term.signal.aborted || store.failing || mirror.revision < Math.max(term.token, this.committed))
         continue;
       await this.leaseBlocks();
-      if (mirror.revision >= this.committed) await this.placeJobs();
+      if (mirror.revision >= this.committed) await this.dealJobs();
     }
   }
 
@@ -178,49 +179,60 @@
     return of;
   }
 
-  /** Places jobs that no single block had room for, and anew those that wait where others have room. */
-  private async placeJobs(): Promise<void> {
-    const { census, clock, settings, registry, types } = this.ports;
-    const again = clock() - this.replacedAt > settings.reportMs * replaceEvery;
-    if (again) this.replacedAt = clock();
-    const due = [...census.jobs.values()]
-      .filter((job) => job.parts.length === 0 || (again && !census.started(job.id)))
-      .sort((a, b) => byOrderOfWork(a.spec, b.spec))
-      .slice(0, settings.state.txnOps / 2);
-    if (due.length === 0) return;
-    const facts = {
-      blocks: registry.blocks(),
-      alive: (label: string) => registry.isAlive(label),
-      types: types(),
-      census,
-      used: usedByMachine(census),
-    };
-    const moves: Promise<void>[] = [];
-    for (const job of due) {
-      const rooms = roomsFor(job.spec, facts);
-      const free = rooms.reduce((sum, room) => sum + Math.max(0, room.free), 0);
-      // Placing it anew pays only where something of it could start at once.
-      const stuck = job.parts.some(
-        (p) => clock() - job.seenAt > settings.reportMs && free > 0 && p.count > 0,
-      );
-      if (job.parts.length === 0 || stuck) moves.push(this.place(job, spread(job.spec, rooms)));
-      // The rooms change with every placement; the next tick sees them as they are then.
-      if (job.parts.length > 0 && stuck) break;
+  /** Deals out what no block has yet, in the order of work, and takes back what waits where it cannot start. */
+  private async dealJobs(): Promise<void> {
+    const { census, clock, registry, types, lookahead, settings } = this.ports;
+    const alive = (label: string): boolean => registry.isAlive(label);
+    const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead });
+    const perPage = tasksPerPage(settings.state.valueBytes);
+    const jobs = [...census.jobs.values()].sort((a, b) => byOrderOfWork(a.spec, b.spec));
+    const deals: Promise<void>[] = [];
+    for (const job of jobs) {
+      if (deals.length >= settings.state.txnOps / 2) break;
+      if (census.waiting(job)[0]?.block !== undefined) continue;
+      const parts = census.waiting(job).length > 0 ? rooms.deal(job.spec, job.parts) : undefined;
+      if (parts) deals.push(this.place(job, parts, []));
+    }
+    if (deals.length === 0 && clock() - this.takenBackAt > settings.reportMs) {
+      this.takenBackAt = clock();
+      const taken = this.takeBack(jobs, rooms, perPage);
+      if (taken) deals.push(this.place(taken.job, taken.parts, taken.pages));
+    }
+    await Promise.all(deals);
+  }
+
+  /** One range whose block is full while another has room, less its tasks that never started. */
+  private takeBack(
+    jobs: CensusJob[],
+    rooms: Rooms,
+    perPage: number,
+  ): { job: CensusJob; parts: Part[]; pages: Condition[] } | undefined {
+    for (const job of jobs) {
+      if (bound(job.spec)) continue;
+      const now = rooms.of(job.spec);
+      if (!now.some((room) => room.free > 0)) continue;
+      for (const [i, range] of job.parts.entries()) {
+        const room = now.find((r) => r.block === range.block);
+        if (room && room.free > 0) continue;
+        const { count, pages } = this.ports.census.untouched(job, range, perPage);
+        if (count === 0) continue;
+        const kept = { ...range, count: range.count - count };
+        const parts = job.parts.map((part, j) => (j === i ? kept : part)).filter((part) => part.count > 0);
+        return { job, parts, pages };
+      }
     }
-    await Promise.all(moves);
+    return undefined;
   }
 
-  /** Conditioned on nothing of the job having started, under its present placement. */
-  private async place(job: CensusJob, parts: CensusJob['parts']): Promise<void> {
+  /** Conditioned on the pages that say what has not started: whatever its owner commits meanwhile wins. */
+  private async place(job: CensusJob, parts: Part[], pages: Condition[]): Promise<void> {
     const { commits, log } = this.ports;
-    if (parts.length === 0 || JSON.stringify(parts) === JSON.stringify(job.parts)) return;
-    const untouched = job.parts.map((_, part) => ({ key: runKey(job.id, part, 0), version: 0 }));
     const outcome = await commits.commit(
-      [this.lead, { key: jobKey(job.id), version: job.version }, ...untouched],
+      [this.lead, { key: jobKey(job.id), version: job.version }, ...pages],
       [{ put: jobKey(job.id), value: jobRecord({ spec: job.spec, parts }) }],
     );
     if (outcome.kind === 'applied') this.committed = Math.max(this.committed, outcome.revision);
-    log.debug({ event: 'job-placed', job: job.id, parts, outcome: outcome.kind }, 'job placed by the leader');
+    log.debug({ event: 'job-dealt', job: job.id, parts, outcome: outcome.kind }, 'job dealt to blocks');
   }
 }
 
--- /dev/null
+++ b/src/blocks/rooms.ts
@@ -0,0 +1,193 @@
+import { type JobSpec, type MachineType, type Resources, fits } from '../model/types.js';
+import type { Census } from '../placement/census.js';
+import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
+
+/** What a block can still take of a job. */
+export interface Room {
+  block: number;
+  /** Tasks that fit into what is free now, less what already waits there. */
+  free: number;
+  /** Tasks that fit into its empty machines: its size. */
+  size: number;
+}
+
+export interface RoomFacts {
+  blocks: ReadonlyMap<number, BlockRecord>;
+  alive: (label: string) => boolean;
+  types: ReadonlyMap<string, MachineType>;
+  census: Census;
+  /** How much more than fits now a block may hold, as a share of its size, so that it need not wait to be dealt to. */
+  lookahead: number;
+}
+
+/** The blocks' room for jobs at one moment; what is dealt in the meantime is taken off it. */
+export class Rooms {
+  private readonly used: Map<string, Resources>;
+  /** CPUs of tasks that wait in a block, by the kind of machine that they wait for. */
+  private readonly waitingCpus = new Map<string, number>();
+
+  constructor(private readonly facts: RoomFacts) {
+    this.used = usedByMachine(facts.census);
+    for (const job of facts.census.jobs.values()) {
+      for (const { block, count } of facts.census.waiting(job)) {
+        if (block !== undefined) this.take(job.spec, block, count);
+      }
+    }
+  }
+
+  /** Roomiest first. Blocks whose owner is gone have none, unless all owners are. */
+  of(spec: JobSpec): Room[] {
+    const { blocks, alive, types, lookahead } = this.facts;
+    const all = [...blocks];
+    const served = all.filter(([, record]) => alive(record.owner));
+    const rooms = (served.length > 0 ? served : all).map(([block, record]) => {
+      const machines = record.machines.filter((m) => !m.leaving && mayUse(spec, m));
+      // Work that may use cheap machines leaves the others alone as long as there are cheap ones.
+      const cheap = spec.spot ? machines.filter((m) => m.spot) : [];
+      let free = 0;
+      let size = 0;
+      for (const machine of cheap.length > 0 ? cheap : machines) {
+        const type = types.get(machine.type);
+        if (!type) continue;
+        const used = this.used.get(machine.id) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
+        size += tasksIn(spec, type);
+        free += tasksIn(spec, {
+          cpus: type.cpus - used.cpus,
+          accelerators: type.accelerators - used.accelerators,
+          memoryGb: type.memoryGb - used.memoryGb,
+        });
+      }
+      const waiting = (this.waitingCpus.get(kindKey(spec, block)) ?? 0) / Math.max(spec.cpus, 1e-3);
+      return { block, free: Math.floor(free - waiting + size * lookahead), size };
+    });
+    return rooms.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
+  }
+
+  take(spec: JobSpec, block: number, count: number): void {
+    const key = kindKey(spec, block);
+    this.waitingCpus.set(key, (this.waitingCpus.get(key) ?? 0) + count * spec.cpus);
+  }
+
+  /** The one block that has room for the whole job now, or none. */
+  whole(spec: JobSpec): Part[] | undefined {
+    const best = this.of(spec)[0];
+    return best && best.free >= spec.tasks ? [{ block: best.block, first: 0, count: spec.tasks }] : undefined;
+  }
+
+  /** All tasks over all blocks by their sizes, whether or not there is room. */
+  bySize(spec: JobSpec): Part[] {
+    const rooms = this.of(spec);
+    const best = rooms[0];
+    if (!best) return [];
+    if (bound(spec)) return [{ block: best.block, first: 0, count: spec.tasks }];
+    const total = rooms.reduce((sum, room) => sum + room.size + 1, 0);
+    const parts: Part[] = [];
+    let first = 0;
+    for (const [i, room] of rooms.entries()) {
+      const rest = spec.tasks - first;
+      const count =
+        i === rooms.length - 1 ? rest : Math.min(rest, Math.round((spec.tasks * (room.size + 1)) / total));
+      if (count > 0) parts.push({ block: room.block, first, count });
+      first += count;
+    }
+    return parts;
+  }
+
+  /**
+   * Deals tasks that no block has yet to where there is room for them, and takes that room. Undefined: there is none.
+   */
+  deal(spec: JobSpec, parts: Part[]): Part[] | undefined {
+    const rooms = this.of(spec);
+    if (bound(spec)) {
+      const best = rooms[0];
+      // Tasks that are bound to each other by zone go to one block, all of them, as soon as any could start.
+      if (parts.length > 0 || !best || best.free <= 0) return undefined;
+      this.take(spec, best.block, spec.tasks);
+      return [{ block: best.block, first: 0, count: spec.tasks }];
+    }
+    const gaps = undealt(parts, spec.tasks);
+    const more: Part[] = [];
+    for (const room of rooms) {
+      let free = room.free;
+      while (free > 0) {
+        const gap = gaps[0];
+        if (!gap) break;
+        const count = Math.min(free, gap.count);
+        more.push({ block: room.block, first: gap.first, count });
+        this.take(spec, room.block, count);
+        free -= count;
+        gap.first += count;
+        gap.count -= count;
+        if (gap.count === 0) gaps.shift();
+      }
+    }
+    return more.length > 0 ? mergeParts([...parts, ...more]) : undefined;
+  }
+}
+
+/** Tasks whose zones depend on each other. */
+export function bound(spec: JobSpec): boolean {
+  return spec.oneZone || spec.spread;
+}
+
+/** The tasks that no range covers. */
+export function undealt(parts: Part[], tasks: number): { first: number; count: number }[] {
+  const gaps: { first: number; count: number }[] = [];
+  let at = 0;
+  for (const { first, count } of [...parts].sort((a, b) => a.first - b.first)) {
+    if (first > at) gaps.push({ first: at, count: first - at });
+    at = Math.max(at, first + count);
+  }
+  if (at < tasks) gaps.push({ first: at, count: tasks - at });
+  return gaps;
+}
+
+/** Joins neighbouring ranges of the same block; the order of the first stays, since its block asks for the end. */
+export function mergeParts(parts: Part[]): Part[] {
+  const merged: Part[] = [];
+  for (const part of parts) {
+    const before = merged.find((m) => m.block === part.block && m.first + m.count === part.first);
+    const after = merged.find((m) => m.block === part.block && part.first + part.count === m.first);
+    if (before) before.count += part.count;
+    else if (after) {
+      after.first = part.first;
+      after.count += part.count;
+    } else merged.push({ ...part });
+  }
+  return merged;
+}
+
+/** What the tasks on each machine take of it. */
+function usedByMachine(census: Census): Map<string, Resources> {
+  const used = new Map<string, Resources>();
+  for (const { page, machine } of census.activeTasks()) {
+    const entry = used.get(machine) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
+    entry.cpus += page.cpus;
+    entry.accelerators += page.accelerators;
+    entry.memoryGb += page.memoryGb;
+    used.set(machine, entry);
+  }
+  return used;
+}
+
+function kindKey(spec: JobSpec, block: number): string {
+  return `${block}/${spec.spot ? 'spot' : 'ordinary'}`;
+}
+
+function tasksIn(need: Resources, free: Resources): number {
+  if (!fits(need, free)) return 0;
+  const ratios = [
+    need.cpus > 0 ? free.cpus / need.cpus : Infinity,
+    need.accelerators > 0 ? free.accelerators / need.accelerators : Infinity,
+    need.memoryGb > 0 ? free.memoryGb / need.memoryGb : Infinity,
+  ];
+  return Math.min(1e6, Math.floor(Math.min(...ratios) + 1e-6));
+}
+
+function mayUse(spec: JobSpec, machine: LeasedMachine): boolean {
+  return (
+    (spec.types === null || spec.types.includes(machine.type)) &&
+    (spec.zone === null || spec.zone === machine.zone) &&
+    (spec.spot || !machine.spot)
+  );
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,7 +6,7 @@
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { createWebApp, serveWeb } from './base/web.js';
-import { roomsFor, spread, usedByMachine, wholeIn } from './blocks/homing.js';
+import { Rooms } from './blocks/rooms.js';
 import { Landlord } from './blocks/landlord.js';
 import { Registry } from './blocks/registry.js';
 import { Tenancy } from './blocks/tenancy.js';
@@ -181,7 +181,13 @@
       types,
     };
     const fleet = new Fleet({ ...shared, wallClock: Date.now, leased: () => registry.machines() });
-    const landlord = new Landlord({ ...shared, fleet, boot, periodMs: operator.blocks.periodS * 1000 });
+    const landlord = new Landlord({
+      ...shared,
+      fleet,
+      boot,
+      periodMs: operator.blocks.periodS * 1000,
+      lookahead: operator.blocks.lookahead,
+    });
     this.fleet = fleet;
     try {
       await Promise.all([runRoutine('landlord', term.signal, log, () => landlord.run()), fleet.run()]);
@@ -190,13 +196,13 @@
     }
   }
 
-  /** A job goes whole to the block with the most room, or, too big for any, to the leader to be placed. */
+  /** A job goes whole to the block with the most room; what is too big for any is the leader's to deal out. */
   private home(spec: JobSpec): Part[] {
     const { registry, census, types, election } = this;
-    const blocks = registry.blocks();
     const alive = (label: string): boolean => registry.isAlive(label);
-    const rooms = roomsFor(spec, { blocks, alive, types, census, used: usedByMachine(census) });
-    return wholeIn(spec, rooms) ?? (election.leader === undefined ? spread(spec, rooms) : []);
+    const rooms = new Rooms({ blocks: registry.blocks(), alive, types, census, lookahead: 0 });
+    // Without a leader there is nobody to deal: the blocks then share it by their sizes.
+    return rooms.whole(spec) ?? (election.leader === undefined ? rooms.bySize(spec) : []);
   }
 
   private heed(status: PeerStatus): void {
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -140,6 +140,7 @@
     );
     countDemand({ census, machines, pools, teams: settings.teams, shape: operator.ladder });
     this.pools = pools;
+    this.logPools();
     for (const pool of pools.values()) {
       const want = this.ladder.rentTo(pool.machines.length, pool.counted);
       if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
@@ -147,6 +148,20 @@
     }
   }
 
+  private logPools(): void {
+    const { log } = this.ports;
+    if (!log.isLevelEnabled('debug')) return;
+    const pools = [...this.pools.values()].map((pool) => ({
+      pool: pool.key,
+      machines: pool.machines.length,
+      leaving: pool.leaving.length,
+      counted: Math.round(pool.counted),
+      waiting: [...pool.waiting].map(([block, slots]) => [block, Math.round(slots)]),
+      exhausted: pool.exhausted,
+    }));
+    log.debug({ event: 'pools', pools }, 'pools');
+  }
+
   private async rent(pool: Pool, count: number): Promise<void> {
     const { clock, wallClock, cloud, log, term } = this.ports;
     let missing = count;
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -32,7 +32,7 @@
 
 /** All that a block's owner knows of its jobs and machines, rebuilt from the store when the lease begins. */
 export class Board {
-  /** Parts of jobs by job; a block has at most one part of each. */
+  /** The jobs of which this block has tasks. */
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
   /** Proven gone, however long the block's record or a late report still speaks of them. */
@@ -84,11 +84,15 @@
   /** Follows what the other controllers commit: new jobs, their parts, cancels. Pages are written by us only. */
   apply(changes: Change[]): void {
     for (const change of changes) {
-      if (change.deleted) continue;
-      if (change.key.startsWith('job/')) this.setJob(change.key, change.value, change.version);
+      if (change.deleted) {
+        // The record goes with the end of the job, and after a gap in the watch it may be all that we get to see.
+        if (!change.key.startsWith('job/')) continue;
+        const job = this.jobs.get(change.key.slice('job/'.length));
+        if (job) this.endJob(job, 'cancelled');
+      } else if (change.key.startsWith('job/')) this.setJob(change.key, change.value, change.version);
       else if (change.key.startsWith('end/')) {
-        const job = this.jobs.get(change.key.slice('end/'.length));
         const end = parseEnd(change.value);
+        const job = this.jobs.get(change.key.slice('end/'.length));
         if (job && end) this.endJob(job, end.end);
       }
     }
@@ -110,7 +114,11 @@
 
   report(machine: MachineState, report: Report, mayStart: boolean): Reconciliation {
     const now = this.options.clock();
-    const result = reconcile(machine, report, { now, jobs: this.jobs, mayStart });
+    const result = reconcile(machine, report, {
+      now,
+      mayStart,
+      jobs: this.jobs,
+    });
     for (const finding of result.findings) {
       if (finding.kind === 'seen') {
         finding.task.phase = 'seen';
@@ -207,20 +215,18 @@
     const record = parseJobRecord(value);
     if (!record || key !== `job/${record.spec.id}`) return;
     const { spec, parts } = record;
-    const part = parts.findIndex((p) => p.block === this.options.block);
-    const range = parts[part];
-    const known = this.jobs.get(spec.id);
-    if (known) {
-      const same = range && range.first === known.range.first && range.count === known.range.count;
-      if (same && known.part === part && known.parts === parts.length) {
-        known.version = version;
-        return;
-      }
-      // The leader has placed the job anew, which it does only before anything of it has started.
-      this.withdraw(known);
-      this.jobs.delete(spec.id);
+    const { block, perPage } = this.options;
+    let job = this.jobs.get(spec.id);
+    if (!job) {
+      if (!parts.some((part) => part.block === block)) return;
+      job = JobState.of(spec, version, block, perPage);
+      this.jobs.set(spec.id, job);
+    }
+    job.assignRanges(parts, version);
+    // Ranges that the leader took back had not started; intents for them that are under way will fail.
+    for (const task of [...job.tasks.values()]) {
+      if (task.phase === 'placing' && !job.holds(task.index)) this.takeOff(task);
     }
-    if (range) this.jobs.set(spec.id, JobState.of(spec, version, parts, part, this.options.perPage));
   }
 
   private addPage(key: string, value: unknown, version: number): void {
@@ -229,7 +235,7 @@
     if (!run || !page || page.block !== this.options.block) return;
     let job = this.jobs.get(run.id);
     if (!job) {
-      job = JobState.leftover(run.id, run.part, page, this.options.perPage);
+      job = JobState.leftover(run.id, page, this.options.perPage);
       this.jobs.set(run.id, job);
     }
     for (const task of job.loadPage(run.page, page, version)) this.put(task, this.machine(task.machine));
--- a/src/placement/census.ts
+++ b/src/placement/census.ts
@@ -5,15 +5,18 @@
   type RunPage,
   parseJobRecord,
   parseRunKey,
+  type Part,
+  fromRanges,
   parseRunPage,
   rangesSize,
+  runKey,
 } from '../wire/records.js';
-import type { Change } from '../wire/state.js';
+import type { Change, Condition } from '../wire/state.js';
 
 export interface CensusPage {
   page: RunPage;
-  part: number;
   done: number;
+  version: number;
 }
 
 export interface CensusJob extends JobRecord {
@@ -53,29 +56,55 @@
     }
   }
 
-  /** Done, and on machines, of one part of a job or of all. */
-  progress(id: string, part?: number): { done: number; active: number } {
+  /** Done, and on machines, of what one block has of a job or of all of it. */
+  progress(id: string, block?: number): { done: number; active: number } {
     let done = 0;
     let active = 0;
     for (const entry of this.pages.get(id)?.values() ?? []) {
-      if (part !== undefined && entry.part !== part) continue;
+      if (block !== undefined && entry.page.block !== block) continue;
       done += entry.done;
       active += entry.page.active.length;
     }
     return { done, active };
   }
 
-  started(id: string): boolean {
-    return (this.pages.get(id)?.size ?? 0) > 0;
+  /** Waiting tasks of the job by block; those that are not dealt yet belong to none. */
+  waiting(job: CensusJob): { block: number | undefined; count: number }[] {
+    const dealt = new Map<number, number>();
+    let undealt = job.spec.tasks;
+    for (const { block, count } of job.parts) {
+      dealt.set(block, (dealt.get(block) ?? 0) + count);
+      undealt -= count;
+    }
+    const waiting: { block: number | undefined; count: number }[] = [];
+    if (undealt > 0) waiting.push({ block: undefined, count: undealt });
+    for (const [block, count] of dealt) {
+      const { done, active } = this.progress(job.id, block);
+      if (count > done + active) waiting.push({ block, count: count - done - active });
+    }
+    return waiting;
   }
 
-  /** Waiting tasks of the job by block; those of a job without parts belong to none. */
-  *waiting(job: CensusJob): Iterable<{ block: number | undefined; count: number }> {
-    if (job.parts.length === 0) yield { block: undefined, count: job.spec.tasks };
-    for (const [part, { block, count }] of job.parts.entries()) {
-      const { done, active } = this.progress(job.id, part);
-      yield { block, count: Math.max(0, count - done - active) };
+  /** How many tasks at the end of a range never started, and the versions of the pages that say so. */
+  untouched(job: CensusJob, range: Part, perPage: number): { count: number; pages: Condition[] } {
+    let last = range.first - 1;
+    const end = range.first + range.count;
+    const pages: Condition[] = [];
+    for (let page = Math.floor(range.first / perPage); page * perPage < end; page++) {
+      const key = runKey(job.id, range.block, page);
+      const entry = this.pages.get(job.id)?.get(key);
+      pages.push({ key, version: entry?.version ?? 0 });
+      if (!entry) continue;
+      const touched = [
+        ...entry.page.active.map(([n]) => n),
+        ...entry.page.waiting.map(([n]) => n),
+        ...entry.page.done,
+      ];
+      for (const index of touched) if (index < end) last = Math.max(last, index);
+      // A range of done tasks may reach beyond this one.
+      for (const index of fromRanges(entry.page.done)) if (index < end) last = Math.max(last, index);
     }
+    return { count: end - 1 - last, pages };
   }
 
   private set(key: string, value: unknown, version: number): void {
@@ -94,7 +123,7 @@
       pages = new Map<string, CensusPage>();
       this.pages.set(run.id, pages);
     }
-    pages.set(key, { page, part: run.part, done: rangesSize(page.done) });
+    pages.set(key, { page, done: rangesSize(page.done), version });
   }
 
   private drop(key: string): void {
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -34,40 +34,39 @@
   need: Resources;
   /** Version of the job's record; it is gone once the job has ended. */
   version: number;
-  /** Which of the job's parts this is, and how many there are. */
-  part: number;
-  parts: number;
-  range: Part;
+  block: number;
   perPage: number;
 }
 
 /**
- * The part of a job that one block places: for most jobs all of it. Tasks that never started exist only as numbers,
- * so 100,000 of them cost little.
+ * What one block has of a job: for most jobs all its tasks, else the ranges that the leader has dealt to it. Tasks
+ * that never started exist only as numbers, so 100,000 of them cost little.
  */
 export class JobState {
   readonly id: string;
   readonly spec: JobSpec | undefined;
   readonly team: string;
   readonly need: Resources;
-  readonly part: number;
-  readonly parts: number;
-  readonly range: Part;
+  readonly block: number;
   readonly perPage: number;
   version: number;
+  /** The block of the job's first range is the one that asks for its end. */
+  first = false;
+  /** All of the job's tasks are this block's. */
+  whole = false;
   readonly tasks = new Map<number, Task>();
   readonly pages = new Map<number, PageState>();
-  private readonly doneFlags: Uint8Array;
-  private readonly committedFlags: Uint8Array;
-  private doneTotal = 0;
-  private committedTotal = 0;
+  private ranges: Part[] = [];
+  private size = 0;
+  private readonly done = new Set<number>();
+  private readonly committed = new Set<number>();
   ended: End | undefined;
   /** The end is being committed. */
   ending = false;
   /** No task of the job is started before then: it has failed lately. */
   retryAt = 0;
   failures = 0;
-  private fresh: number;
+  private fresh = 0;
   private activeCount = 0;
 
   constructor(facts: JobFacts) {
@@ -75,81 +74,82 @@
     this.spec = facts.spec;
     this.team = facts.team;
     this.need = facts.need;
-    this.part = facts.part;
-    this.parts = facts.parts;
-    this.range = facts.range;
-    this.perPage = facts.perPage;
     this.version = facts.version;
-    this.fresh = facts.range.first;
-    this.doneFlags = new Uint8Array(facts.range.count);
-    this.committedFlags = new Uint8Array(facts.range.count);
+    this.block = facts.block;
+    this.perPage = facts.perPage;
   }
 
-  static of(spec: JobSpec, version: number, parts: Part[], part: number, perPage: number): JobState {
+  static of(spec: JobSpec, version: number, block: number, perPage: number): JobState {
     const { id, team, cpus, accelerators, memoryGb } = spec;
-    const range = parts[part] ?? { block: -1, first: 0, count: 0 };
-    const need = { cpus, accelerators, memoryGb };
-    return new JobState({ id, spec, team, need, version, part, parts: parts.length, range, perPage });
+    return new JobState({ id, spec, team, need: { cpus, accelerators, memoryGb }, version, block, perPage });
   }
 
   /** A job whose record has gone: it has ended, yet tasks of it may still be on machines. */
-  static leftover(id: string, part: number, page: RunPage, perPage: number): JobState {
+  static leftover(id: string, page: RunPage, perPage: number): JobState {
     const { team, cpus, accelerators, memoryGb, block } = page;
-    const range = { block, first: 0, count: 0 };
     const need = { cpus, accelerators, memoryGb };
-    const job = new JobState({ id, spec: undefined, team, need, version: 0, part, parts: 1, range, perPage });
+    const job = new JobState({ id, spec: undefined, team, need, version: 0, block, perPage });
     job.ended = 'cancelled';
     return job;
   }
 
+  /** The leader's word on which tasks are this block's. */
+  assignRanges(parts: Part[], version: number): void {
+    this.version = version;
+    this.ranges = parts.filter((part) => part.block === this.block).sort((a, b) => a.first - b.first);
+    this.size = this.ranges.reduce((sum, range) => sum + range.count, 0);
+    this.first = parts[0]?.block === this.block;
+    this.whole = this.size === this.spec?.tasks;
+    this.fresh = this.ranges[0]?.first ?? 0;
+    // A task whose intent was never committed is nothing but a number, and may now be another block's: were it kept,
+    // two blocks would start it.
+    for (const task of this.tasks.values()) {
+      if (task.phase === 'waiting' && !this.holds(task.index)) this.tasks.delete(task.index);
+    }
+  }
+
   get active(): number {
     return this.activeCount;
   }
 
   get doneCount(): number {
-    return this.doneTotal;
+    return this.done.size;
   }
 
-  /** All tasks of this part are done. */
+  /** All tasks that this block has of the job are done. */
   get complete(): boolean {
-    return this.spec !== undefined && this.doneTotal === this.range.count;
+    return this.spec !== undefined && this.size > 0 && this.done.size === this.size;
   }
 
   get completeCommitted(): boolean {
-    return this.spec !== undefined && this.committedTotal === this.range.count;
+    return this.complete && this.committed.size === this.size;
   }
 
   /** Tasks that neither run nor are done. */
   get waiting(): number {
     if (this.ended || !this.spec) return 0;
-    return this.range.count - this.doneTotal - this.activeCount;
+    return this.size - this.done.size - this.activeCount;
   }
 
   isDone(index: number): boolean {
-    return this.doneFlags[index - this.range.first] === 1;
+    return this.done.has(index);
   }
 
   /** Only what is committed as done may be forgotten by its machine. */
   isDoneCommitted(index: number): boolean {
-    return this.committedFlags[index - this.range.first] === 1;
+    return this.committed.has(index);
   }
 
   commitDone(indices: number[]): void {
-    for (const index of indices) {
-      const at = index - this.range.first;
-      if (this.committedFlags[at] === 0) {
-        this.committedFlags[at] = 1;
-        this.committedTotal++;
-      }
-    }
+    for (const index of indices) this.committed.add(index);
   }
 
   loadPage(pageIndex: number, page: RunPage, version: number): Task[] {
     this.pages.set(pageIndex, { version, dirt: 'clean', dirtySince: 0, busy: false });
-    const done = [...fromRanges(page.done)].filter((index) => this.holds(index) && !this.isDone(index));
-    for (const index of done) this.doneFlags[index - this.range.first] = 1;
-    this.doneTotal += done.length;
-    this.commitDone(done);
+    for (const index of fromRanges(page.done)) {
+      this.done.add(index);
+      this.committed.add(index);
+    }
     for (const [index, attempt] of page.waiting) this.touch(index, attempt);
     const active: Task[] = [];
     for (const [index, attempt, machine] of page.active) {
@@ -162,10 +162,16 @@
 
   /** The next task to start, without taking it: a returned one first, else one that never started. */
   next(): Task | undefined {
-    for (const task of this.tasks.values()) if (task.phase === 'waiting') return task;
-    const end = this.range.first + this.range.count;
-    while (this.fresh < end && (this.isDone(this.fresh) || this.tasks.has(this.fresh))) this.fresh++;
-    return this.fresh < end ? this.touch(this.fresh, 0) : undefined;
+    for (const task of this.tasks.values())
+      if (task.phase === 'waiting' && this.holds(task.index)) return task;
+    for (const { first, count } of this.ranges) {
+      if (this.fresh >= first + count) continue;
+      if (this.fresh < first) this.fresh = first;
+      while (this.fresh < first + count && (this.done.has(this.fresh) || this.tasks.has(this.fresh)))
+        this.fresh++;
+      if (this.fresh < first + count) return this.touch(this.fresh, 0);
+    }
+    return undefined;
   }
 
   place(task: Task, machine: string, now: number): void {
@@ -181,7 +187,8 @@
     task.machine = '';
     task.running = false;
     this.activeCount--;
-    this.soil(task.index, 'now', now);
+    if (!this.holds(task.index)) this.tasks.delete(task.index);
+    else this.soil(task.index, 'now', now);
   }
 
   finish(index: number, now: number): boolean {
@@ -189,15 +196,14 @@
     const task = this.tasks.get(index);
     if (task && task.phase !== 'waiting') this.activeCount--;
     this.tasks.delete(index);
-    this.doneFlags[index - this.range.first] = 1;
-    this.doneTotal++;
+    this.done.add(index);
     this.failures = 0;
     this.soil(index, this.complete ? 'now' : 'soon', now);
     return true;
   }
 
   pageOf(index: number): number {
-    return Math.floor((index - this.range.first) / this.perPage);
+    return Math.floor(index / this.perPage);
   }
 
   soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
@@ -216,13 +222,14 @@
 
   /** The page as it should stand in the store, with the tasks that its commit would turn from placing to placed. */
   snapshot(pageIndex: number): { page: RunPage; placing: Task[]; done: number[] } {
-    const first = this.range.first + pageIndex * this.perPage;
-    const last = Math.min(first + this.perPage, this.range.first + this.range.count);
+    const first = pageIndex * this.perPage;
+    const last = first + this.perPage;
     const placing: Task[] = [];
     const active: RunPage['active'] = [];
     const waiting: RunPage['waiting'] = [];
     const done: number[] = [];
-    for (let index = first; index < last; index++) if (this.isDone(index)) done.push(index);
+    for (let index = first; index < Math.min(last, this.spec?.tasks ?? 0); index++)
+      if (this.isDone(index)) done.push(index);
     for (const task of this.tasks.values()) {
       if (task.index < first || task.index >= last) continue;
       if (task.phase === 'waiting') {
@@ -232,16 +239,16 @@
       active.push([task.index, task.attempt, task.machine]);
       if (task.phase === 'placing') placing.push(task);
     }
-    const { team, need, range } = this;
+    const { team, need, block } = this;
     return {
-      page: { block: range.block, team, ...need, active, waiting, done: toRanges(done) },
+      page: { block, team, ...need, active, waiting, done: toRanges(done) },
       placing,
       done,
     };
   }
 
-  private holds(index: number): boolean {
-    return index >= this.range.first && index < this.range.first + this.range.count;
+  holds(index: number): boolean {
+    return this.ranges.some((range) => index >= range.first && index < range.first + range.count);
   }
 
   private touch(index: number, attempt: number): Task {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -113,8 +113,9 @@
 
   /** Completed tasks stay so, which is why a late view of the other blocks' pages is enough. */
   private othersComplete(job: JobState): boolean {
-    if (job.parts === 1) return true;
-    if (!job.completeCommitted || !job.spec) return false;
+    if (job.whole) return true;
+    // One owner asks: rivals would only spend writes on conflicts.
+    if (!job.first || !job.completeCommitted || !job.spec) return false;
     return this.ports.census.progress(job.id).done === job.spec.tasks;
   }
 
@@ -127,7 +128,7 @@
     const { board, commits, clock } = this.ports;
     const { block } = this;
     const { page, placing, done } = job.snapshot(index);
-    const key = runKey(job.id, job.part, index);
+    const key = runKey(job.id, job.block, index);
     state.busy = true;
     state.dirt = 'clean';
     // The job's record goes with its end, so its version says that the job is open, and placed as we know it.
@@ -162,7 +163,7 @@
       [
         { put: endKey(job.id), value: endRecord('done', job.spec?.tasks ?? job.doneCount) },
         { drop: jobKey(job.id) },
-        ...drops.map((page) => ({ drop: runKey(job.id, job.part, page) })),
+        ...drops.map((page) => ({ drop: runKey(job.id, job.block, page) })),
       ],
     );
     if (outcome.kind === 'applied') {
@@ -189,7 +190,7 @@
     job.ending = true;
     const outcome = await commits.commit(
       [block],
-      drops.map((page) => ({ drop: runKey(job.id, job.part, page) })),
+      drops.map((page) => ({ drop: runKey(job.id, job.block, page) })),
     );
     job.ending = false;
     if (outcome.kind === 'applied') for (const page of drops) job.pages.delete(page);
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -15,7 +15,10 @@
     }),
     {},
   ),
-  blocks: v.optional(v.strictObject({ periodS: v.optional(ratio, 30) }), {}),
+  blocks: v.optional(
+    v.strictObject({ periodS: v.optional(ratio, 30), lookahead: v.optional(share, 0.1) }),
+    {},
+  ),
   leadership: v.optional(v.strictObject({ grantReports: v.optional(ratio, 2.4) }), {}),
   workers: v.optional(
     v.strictObject({ silentReports: v.optional(ratio, 3), bootTimes: v.optional(ratio, 3) }),
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -29,7 +29,8 @@
   | { kind: 'applied'; revision: number }
   | { kind: 'conflict'; failed: string[]; revision: number }
   | { kind: 'no-lease' }
-  | { kind: 'refused' }
+  /** `busy`: over the limits, so worth a repetition in a moment. */
+  | { kind: 'refused'; busy: boolean }
   | { kind: 'unknown' };
 
 export class StoreUnavailable extends Error {}
@@ -44,6 +45,7 @@
   requests: { intakeAll: 0.35, leaderDuty: 0.23, followersDuty: 0.34 },
   writes: { intakeAll: 0.28, leaderDuty: 0.26, followersDuty: 0.38 },
 };
+const burstShare = 0.5;
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
 const listPage = 500;
@@ -80,8 +82,9 @@
     const set = (pacers: Record<Lane, Pacer>, rate: number, share: (typeof shares)['writes']): void => {
       const intake = (rate * share.intakeAll) / controllers;
       const duty = rate * (leading ? share.leaderDuty : share.followersDuty / followers);
-      pacers.intake.setRate(intake, Math.max(1, intake));
-      pacers.duty.setRate(duty, Math.max(2, duty));
+      pacers.intake.setRate(intake, Math.max(1, rate * burstShare));
+      // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
+      pacers.duty.setRate(duty, Math.max(2, rate * burstShare));
     };
     set(this.requests, state.rps, shares.requests);
     set(this.writes, state.writeRps, shares.writes);
@@ -148,7 +151,9 @@
     if (answer.status === 200) return { kind: 'applied', revision: parseCommit(answer.body).revision };
     if (answer.status === 409) return { kind: 'conflict', ...parseCommit(answer.body) };
     if (answer.status === 400) return { kind: 'no-lease' };
-    return answer.status === 429 || answer.status === 503 ? { kind: 'refused' } : { kind: 'unknown' };
+    if (answer.status === 429 || answer.status === 503)
+      return { kind: 'refused', busy: answer.status === 429 };
+    return { kind: 'unknown' };
   }
 
   async grant(ttlMs: number): Promise<number> {
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -15,6 +15,7 @@
 // Room left in a transaction for its own framing.
 const transactionBytes = 60 * 1024;
 const conditionsPerOperation = 4;
+const mostRepeats = 5;
 
 /**
  * Group commit: what arrives while one transaction is on its way goes out together in the next. The stream's
@@ -51,9 +52,10 @@
 
   private async flush(operations: Operation[]): Promise<void> {
     let queue = operations;
+    let repeats = 0;
     while (queue.length > 0) {
       if (this.signal.aborted) {
-        for (const operation of queue) operation.settle({ kind: 'refused' });
+        for (const operation of queue) operation.settle({ kind: 'refused', busy: false });
         return;
       }
       const { batch, rest } = takeBatch(queue, this.settings.state.txnOps);
@@ -62,6 +64,11 @@
         batch.flatMap((o) => o.conditions),
         batch.flatMap((o) => o.writes),
       );
+      if (outcome.kind === 'refused' && outcome.busy && repeats++ < mostRepeats) {
+        await sleep((1000 / this.settings.state.rps) * repeats, this.signal);
+        continue;
+      }
+      repeats = 0;
       queue = rest;
       if (outcome.kind === 'conflict' && batch.length > 1) {
         // One operation's conflict must not fail its neighbours: they go again without it.
@@ -76,7 +83,6 @@
         continue;
       }
       for (const operation of batch) operation.settle(outcome);
-      if (outcome.kind === 'refused') await sleep(1000 / this.settings.state.rps, this.signal);
     }
   }
 }
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -109,7 +109,10 @@
   }
 
   private apply(changes: Change[], revision: number): void {
-    const fresh = changes.filter((change) => change.version > this.version(change.key));
+    // An end may be known before the watch brings it, from our own commit: the listeners still have to hear of it.
+    const fresh = changes.filter(
+      (change) => change.key.startsWith('end/') || change.version > this.version(change.key),
+    );
     for (const change of fresh) {
       const entry = { value: change.value, version: change.version };
       if (change.key.startsWith('end/')) {
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -9,12 +9,12 @@
 export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
 export const endKey = (id: string): string => `end/${id}`;
-export const runKey = (id: string, part: number, page: number): string => `run/${id}/${part}/${page}`;
+export const runKey = (id: string, block: number, page: number): string => `run/${id}/${block}/${page}`;
 
-export function parseRunKey(key: string): { id: string; part: number; page: number } | undefined {
-  const [root, id, part, page] = key.split('/');
+export function parseRunKey(key: string): { id: string; block: number; page: number } | undefined {
+  const [root, id, block, page] = key.split('/');
   if (root !== 'run' || id === undefined || page === undefined) return undefined;
-  return { id, part: Number(part), page: Number(page) };
+  return { id, block: Number(block), page: Number(page) };
 }
 
 export interface LeadRecord {
@@ -110,7 +110,7 @@
   return end === 'done' || end === 'cancelled' ? { end, tasks: number(tasks) } : undefined;
 }
 
-/** A run of consecutive tasks of a job that one block places. */
+/** Consecutive tasks of a job that are dealt to a block, which places them. */
 export interface Part {
   block: number;
   first: number;
@@ -119,7 +119,7 @@
 
 export interface JobRecord {
   spec: JobSpec;
-  /** Empty: too big for the room of any one block, so the leader has yet to place it whole. */
+  /** What no range covers has yet to be dealt by the leader: no block had room for it so far. */
   parts: Part[];
 }
 
