--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -25,6 +25,7 @@
   }
 
   exchange(method: string, path: string, body: unknown, options: ExchangeOptions): Promise<Answer> {
+    if (options.signal?.aborted) return Promise.reject(new Error('cancelled'));
     return new Promise((resolve, reject) => {
       const payload = body === undefined ? undefined : encode(body);
       const headers =
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -30,6 +30,7 @@
   registry: Registry;
   cloud: CloudClient;
   boot: string;
+  signal: AbortSignal;
   types: () => ReadonlyMap<string, MachineType>;
 }
 
@@ -44,7 +45,13 @@
   private readonly tenures = new Map<number, Tenure>();
   private renewing = false;
 
-  constructor(private readonly ports: TenancyPorts) {}
+  constructor(private readonly ports: TenancyPorts) {
+    // A controller that is stopping must not go on judging machines that it no longer hears.
+    const endAll = (): void => {
+      for (const [block, tenure] of this.tenures) this.end(block, tenure);
+    };
+    ports.signal.addEventListener('abort', endAll, { once: true });
+  }
 
   boards(): Board[] {
     return [...this.tenures.values()].map((tenure) => tenure.board);
@@ -64,7 +71,8 @@
 
   /** Called after every batch of changes of the copy, which is where leases come and go. */
   follow(changes: Change[]): void {
-    const { registry, settings, boot } = this.ports;
+    const { registry, settings, boot, signal } = this.ports;
+    if (signal.aborted) return;
     const blocks = registry.blocks();
     for (const [block, tenure] of this.tenures) {
       const record = blocks.get(block);
@@ -110,8 +118,8 @@
     const perPage = tasksPerPage(settings.state.valueBytes);
     const board = new Board({ block, perPage, reportMs: settings.reportMs, clock });
     board.load(mirror);
-    const scheduler = new Scheduler({ ...ports, board, signal });
-    const custody = new Custody({ ...ports, board, signal, onFreed: () => scheduler.poke() });
+    const scheduler = new Scheduler({ ...ports, board, signal: stop.signal });
+    const custody = new Custody({ ...ports, board, signal: stop.signal, onFreed: () => scheduler.poke() });
     const tenure = { board, scheduler, stop };
     this.tenures.set(block, tenure);
     void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -90,7 +90,7 @@
       boot,
       types,
     };
-    this.tenancy = new Tenancy(shared);
+    this.tenancy = new Tenancy({ ...shared, signal });
     this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
     this.election = new Election({
--- /dev/null
+++ b/src/testing/cloud-standin.ts
@@ -0,0 +1,102 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { type Fields, decodeFields, list, number, text } from '../wire/codec.js';
+import { reply } from './store-standin.js';
+
+export interface RentedMachine {
+  id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  rentedAt: number;
+}
+
+/** A stand-in for the cloud: one machine type in two zones, request names that rent once, and a limit a zone. */
+export class CloudStandIn {
+  readonly machines = new Map<string, RentedMachine>();
+  readonly released: string[] = [];
+  readonly rentals = new Map<string, string[]>();
+  /** Machines that a zone has to give, by kind. */
+  capacity = 4;
+  onRent: (machine: RentedMachine) => void = () => undefined;
+  onRelease: (id: string) => void = () => undefined;
+  private serial = 0;
+  private readonly server: Server;
+
+  constructor() {
+    this.server = createServer((request, response) => void this.serve(request, response));
+  }
+
+  listen(port: number): Promise<void> {
+    return new Promise((resolve) => this.server.listen(port, '127.0.0.1', () => resolve()));
+  }
+
+  close(): void {
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const bytes = Buffer.concat(chunks);
+    const body = bytes.length > 0 ? decodeFields(bytes) : {};
+    const path = new URL(request.url ?? '/', 'http://cloud').pathname;
+    if (path === '/machine_types') return reply(response, 200, { hulls: [machineType] });
+    if (path === '/rentals/release') {
+      for (const id of list(body['hosts']).map((h) => text(h))) {
+        if (!this.machines.delete(id)) continue;
+        this.released.push(id);
+        this.onRelease(id);
+      }
+      return reply(response, 200, {});
+    }
+    if (request.method === 'GET') return reply(response, 200, { hosts: this.listing(), hasNext: false });
+    this.rent(body, response);
+  }
+
+  private listing(): Fields[] {
+    return [...this.machines.values()].map((m) => ({
+      id: m.id,
+      endpoint: '127.0.0.1:1',
+      hull: m.type,
+      berth: m.zone,
+      loaners: m.spot,
+      status: 'running',
+      heldS: (Date.now() - m.rentedAt) / 1000,
+    }));
+  }
+
+  private rent(body: Fields, response: ServerResponse): void {
+    const name = text(body['charter']);
+    const before = this.rentals.get(name);
+    if (before) return reply(response, 200, { hosts: before });
+    const zone = text(body['berth']);
+    const spot = body['loaners'] === true;
+    const taken = [...this.machines.values()].filter((m) => m.zone === zone && m.spot === spot).length;
+    const count = Math.min(number(body['howMany']), this.capacity - taken);
+    if (count <= 0) return reply(response, 503, { error: 'no capacity' });
+    const hosts: string[] = [];
+    for (let i = 0; i < count; i++) {
+      const id = `vm-${String(++this.serial).padStart(6, '0')}`;
+      const machine = { id, type: text(body['hull']), zone, spot, rentedAt: Date.now() };
+      this.machines.set(id, machine);
+      hosts.push(id);
+      this.onRent(machine);
+    }
+    this.rentals.set(name, hosts);
+    reply(response, 200, { hosts });
+  }
+}
+
+export const machineType = {
+  name: 'c8',
+  cpus: 8,
+  accelerators: 0,
+  memoryGb: 32,
+  localGb: 20,
+  fetchGbPerS: 1,
+  price: 1,
+  marketPrice: 0.4,
+  startupS: 1,
+  berths: ['a', 'b'],
+};
--- /dev/null
+++ b/src/testing/store-standin.ts
@@ -0,0 +1,189 @@
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { decodeFields, encode, isFields, list, number, text, type Fields } from '../wire/codec.js';
+
+interface Stored {
+  value: unknown;
+  version: number;
+  lease: number | undefined;
+}
+
+/**
+ * A stand-in for the state service, written from the protocol: versions, conditions, grants, watches, limits. It can
+ * refuse everyone or hold an answer back while carrying the request out.
+ */
+export class StoreStandIn {
+  revision = 0;
+  readonly keys = new Map<string, Stored>();
+  /** 503 for every request, as in an outage. */
+  down = false;
+  /** Carries the next commits out and never answers: their fate is unknown to whoever sent them. */
+  losesAnswers = 0;
+  refusals = 0;
+  private readonly changes: Fields[] = [];
+  private readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
+  private nextLease = 1;
+  private readonly waiters = new Set<() => void>();
+  private readonly server: Server;
+  private readonly timer: NodeJS.Timeout;
+  private seconds = { at: 0, requests: 0, writes: 0 };
+
+  constructor(private readonly limits: { rps: number; writeRps: number; txnOps: number }) {
+    this.server = createServer((request, response) => void this.serve(request, response));
+    this.timer = setInterval(() => this.expire(), 20);
+  }
+
+  listen(port: number): Promise<void> {
+    return new Promise((resolve) => this.server.listen(port, '127.0.0.1', () => resolve()));
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  /** For assertions: the value of a key, below our root. */
+  value(key: string): unknown {
+    return this.keys.get(`sk/${key}`)?.value;
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const bytes = Buffer.concat(chunks);
+    const url = new URL(request.url ?? '/', 'http://store');
+    const body = bytes.length > 0 ? decodeFields(bytes) : {};
+    if (this.down) return reply(response, 503, {});
+    if (!this.admit('requests', 1, this.limits.rps)) return reply(response, 429, {});
+    if (url.pathname === '/changes') return this.watch(url, response);
+    const [status, answer] = this.answer(request.method ?? 'GET', url, body);
+    if (url.pathname === '/commit' && status === 200 && this.losesAnswers > 0) {
+      this.losesAnswers--;
+      return void response.destroy();
+    }
+    reply(response, status, answer);
+  }
+
+  private admit(kind: 'requests' | 'writes', units: number, limit: number): boolean {
+    const second = Math.floor(Date.now() / 1000);
+    if (second !== this.seconds.at) this.seconds = { at: second, requests: 0, writes: 0 };
+    this.seconds[kind] += units;
+    const admitted = this.seconds[kind] <= limit;
+    if (!admitted) this.refusals++;
+    return admitted;
+  }
+
+  private answer(method: string, url: URL, body: Fields): [number, unknown] {
+    const path = url.pathname;
+    if (path === '/keys') return this.list(url);
+    if (path.startsWith('/keys/')) {
+      const key = decodeURIComponent(path.slice('/keys/'.length));
+      const stored = this.keys.get(key);
+      return stored
+        ? [200, { path: key, value: stored.value, stamp: stored.version }]
+        : [404, { logline: this.revision }];
+    }
+    if (path === '/commit') return this.commit(body);
+    if (path === '/grants') {
+      const id = this.nextLease++;
+      const ttlMs = number(body['lifeMs']);
+      this.leases.set(id, { ttlMs, endsAt: Date.now() + ttlMs });
+      return [200, { tenure: id }];
+    }
+    const id = Number(path.split('/')[2]);
+    const lease = this.leases.get(id);
+    if (!lease) return [404, {}];
+    if (method === 'DELETE') this.end(id);
+    else lease.endsAt = Date.now() + lease.ttlMs;
+    return [200, {}];
+  }
+
+  private list(url: URL): [number, unknown] {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const since = url.searchParams.get('since') ?? '';
+    const most = Number(url.searchParams.get('most') ?? 1000);
+    const found = [...this.keys]
+      .filter(([key]) => key.startsWith(prefix) && key > since)
+      .sort(([a], [b]) => (a < b ? -1 : 1));
+    const items = found.slice(0, most).map(([key, s]) => ({ path: key, value: s.value, stamp: s.version }));
+    return [200, { items, hasNext: found.length > most, logline: this.revision }];
+  }
+
+  private commit(body: Fields): [number, unknown] {
+    const writes = list(body['writes']).filter(isFields);
+    if (writes.length > this.limits.txnOps) return [400, { error: 'too many writes' }];
+    if (writes.length > 0 && !this.admit('writes', writes.length, this.limits.writeRps)) return [429, {}];
+    const failed = list(body['when'])
+      .filter(isFields)
+      .filter((c) => (this.keys.get(text(c['path']))?.version ?? 0) !== number(c['stamp']))
+      .map((c) => text(c['path']));
+    if (failed.length > 0) return [409, { failed, logline: this.revision }];
+    const leases = writes.map((w) => w['tenure']).filter((lease) => lease !== undefined);
+    if (leases.some((lease) => !this.leases.has(number(lease)))) return [400, { error: 'no such lease' }];
+    if (writes.length > 0) this.revision++;
+    for (const write of writes) {
+      if (typeof write['drop'] === 'string') this.drop(write['drop']);
+      else this.set(text(write['set']), write['value'], write['tenure'] as number | undefined);
+    }
+    this.wake();
+    return [200, { logline: this.revision }];
+  }
+
+  private set(key: string, value: unknown, lease: number | undefined): void {
+    this.keys.set(key, { value, version: this.revision, lease });
+    this.changes.push({ set: key, value, stamp: this.revision });
+  }
+
+  private drop(key: string): void {
+    if (this.keys.delete(key)) this.changes.push({ drop: key, stamp: this.revision });
+  }
+
+  private expire(): void {
+    if (this.down) {
+      // Once an outage ends, every lease has its full time again.
+      for (const lease of this.leases.values()) lease.endsAt = Date.now() + lease.ttlMs;
+      return;
+    }
+    for (const [id, lease] of this.leases) if (lease.endsAt < Date.now()) this.end(id);
+  }
+
+  private end(id: number): void {
+    this.leases.delete(id);
+    const keys = [...this.keys].filter(([, stored]) => stored.lease === id).map(([key]) => key);
+    if (keys.length === 0) return;
+    this.revision++;
+    for (const key of keys) this.drop(key);
+    this.wake();
+  }
+
+  private wake(): void {
+    for (const waiter of [...this.waiters]) waiter();
+  }
+
+  private watch(url: URL, response: ServerResponse): void {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const since = Number(url.searchParams.get('since'));
+    const until = Date.now() + Number(url.searchParams.get('holdMs') ?? 0);
+    const attempt = (): void => {
+      const news = this.changes.filter(
+        (c) => number(c['stamp']) > since && text(c['set'] ?? c['drop']).startsWith(prefix),
+      );
+      if ((news.length === 0 || this.down) && Date.now() < until) return;
+      this.waiters.delete(attempt);
+      clearTimeout(timer);
+      reply(response, 200, { logline: this.revision, news });
+    };
+    const timer = setTimeout(attempt, Math.max(0, until - Date.now()) + 5);
+    this.waiters.add(attempt);
+    response.on('close', () => {
+      clearTimeout(timer);
+      this.waiters.delete(attempt);
+    });
+    attempt();
+  }
+}
+
+export function reply(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/msgpack' });
+  response.end(encode(body));
+}
