--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -8,10 +8,14 @@
 import type { Census } from '../placement/census.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import type { LeasedMachine } from '../wire/records.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Mirror } from '../store/mirror.js';
+import { type LeasedMachine, ladderKey, ladderRecord, leadKey, parseLadder } from '../wire/records.js';
 import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
+import { Tuner } from './tuner.js';
+import { Witness } from './witness.js';
 
 export interface FleetPorts {
   clock: Clock;
@@ -21,6 +25,8 @@
   operator: OperatorSettings;
   cloud: CloudClient;
   census: Census;
+  mirror: Mirror;
+  commits: CommitStage;
   term: Term;
   types: () => ReadonlyMap<string, MachineType>;
   /** All machines of all blocks, as the store has them. */
@@ -45,13 +51,16 @@
   /** A release of theirs is under way. */
   private readonly releasing = new Set<string>();
   private pools = new Map<string, Pool>();
-  private readonly ladder: Ladder;
+  private readonly ladders = new Map<string, { ladder: Ladder; tuner: Tuner }>();
+  private readonly witness: Witness;
+  private tunedAt: number;
   private readonly refusals: Refusals;
   private readonly lastListed = new Map<string, number>();
   private listedAt = -Infinity;
 
   constructor(private readonly ports: FleetPorts) {
-    this.ladder = new Ladder(ports.operator.ladder);
+    this.witness = new Witness(ports.settings.reportMs);
+    this.tunedAt = ports.clock();
     this.refusals = new Refusals(ports.settings.cloud.listLagMs * 2);
   }
 
@@ -141,10 +150,51 @@
     countDemand({ census, machines, pools, teams: settings.teams, shape: operator.ladder });
     this.pools = pools;
     this.logPools();
+    for (const { pool, outcome } of this.witness.observe(census, pools, machines, now)) {
+      this.of(pool).tuner.add(outcome);
+    }
+    await this.tune(now);
     for (const pool of pools.values()) {
-      const want = this.ladder.rentTo(pool.machines.length, pool.counted);
+      const { ladder } = this.of(pool.key);
+      const want = ladder.rentTo(pool.machines.length, pool.counted);
       if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
-      else if (this.ladder.givesBack(pool.machines.length, pool.counted)) this.giveBack(pool);
+      else if (ladder.givesBack(pool.machines.length, pool.counted)) this.giveBack(pool);
+    }
+  }
+
+  /** A pool's ladder, as the last leader left it in the store. */
+  private of(pool: string): { ladder: Ladder; tuner: Tuner } {
+    const { operator, mirror } = this.ports;
+    let entry = this.ladders.get(pool);
+    if (!entry) {
+      const moved = parseLadder(mirror.get(ladderKey(pool))?.value);
+      const { target, windowS } = operator.ladder;
+      entry = {
+        ladder: new Ladder(operator.ladder, moved),
+        tuner: new Tuner({ target, windowMs: windowS * 1000 }),
+      };
+      this.ladders.set(pool, entry);
+    }
+    return entry;
+  }
+
+  /** Once a period, one threshold of each pool by one slot. */
+  private async tune(now: number): Promise<void> {
+    const { operator, commits, term, log } = this.ports;
+    if (now - this.tunedAt < operator.ladder.periodS * 1000) return;
+    this.tunedAt = now;
+    for (const pool of this.pools.values()) {
+      const { ladder, tuner } = this.of(pool.key);
+      const share = tuner.share(now);
+      const move = tuner.tune(ladder, pool.machines.length + 1, now);
+      if (!move) continue;
+      const threshold = ladder.threshold(move.m);
+      log.info({ event: 'tuned', pool: pool.key, ...move, threshold, failures: share }, 'threshold moved');
+      // Were it lost, the next move writes it again.
+      await commits.commit(
+        [{ key: leadKey, version: term.token }],
+        [{ put: ladderKey(pool.key), value: ladderRecord(ladder.movedThresholds) }],
+      );
     }
   }
 
--- a/src/ladder/ladder.ts
+++ b/src/ladder/ladder.ts
@@ -22,23 +22,43 @@
   return share / shape.slotShare;
 }
 
-/** Counted slots at which the m-th machine is rented, m from 1. The first is rented for any work at all. */
-export function startingThreshold(m: number, shape: LadderShape): number {
-  if (m <= 1) return Number.MIN_VALUE;
-  return Math.max(1, Math.round(shape.start * slotsPerMachine(shape) * (m - 1)));
-}
-
+/** The thresholds of one pool. The m-th machine is rented once the counted slots reach threshold m. */
 export class Ladder {
-  constructor(private readonly shape: LadderShape) {}
+  /** Thresholds that were moved, by m; all others are where they start. */
+  private readonly moved = new Map<number, number>();
+
+  constructor(
+    private readonly shape: LadderShape,
+    moved: Iterable<[number, number]> = [],
+  ) {
+    for (const [m, slots] of moved) if (m > 1) this.moved.set(m, Math.min(Math.max(0, slots), this.room(m)));
+  }
+
+  get movedThresholds(): [number, number][] {
+    return [...this.moved];
+  }
 
   threshold(m: number): number {
-    return startingThreshold(m, this.shape);
+    // The first is rented for any work at all.
+    if (m <= 1) return Number.MIN_VALUE;
+    return this.moved.get(m) ?? Math.max(1, Math.round(this.shape.start * this.room(m)));
+  }
+
+  /** Moves one threshold by one slot, within zero and the room of the machines before it, and within its neighbours. */
+  move(m: number, by: 1 | -1): boolean {
+    if (m <= 1) return false;
+    const next = this.threshold(m) + by;
+    const lowest = m === 2 ? 0 : this.threshold(m - 1);
+    const highest = Math.min(this.room(m), this.threshold(m + 1));
+    if (next < lowest || next > highest) return false;
+    this.moved.set(m, next);
+    return true;
   }
 
   /** How many machines there should be at the least, given how many there are. */
   rentTo(machines: number, counted: number): number {
     let m = machines;
-    while (counted >= this.threshold(m + 1)) m++;
+    while (counted > 0 && counted >= this.threshold(m + 1)) m++;
     return m;
   }
 
@@ -46,4 +66,8 @@
   givesBack(machines: number, counted: number): boolean {
     return machines > 0 && counted < this.threshold(machines);
   }
+
+  private room(m: number): number {
+    return slotsPerMachine(this.shape) * (m - 1);
+  }
 }
--- /dev/null
+++ b/src/ladder/witness.ts
@@ -0,0 +1,52 @@
+import type { Census } from '../placement/census.js';
+import { type Pool, poolKey, poolsFor } from './demand.js';
+import type { LeasedMachine } from '../wire/records.js';
+import type { Outcome } from './tuner.js';
+
+/**
+ * Sees from the census which tasks failed in the paper's sense: they had to wait on arrival, or lost their machine.
+ * Waiting for what the cloud refuses is no fault of the ladder's, so it does not count against it.
+ */
+export class Witness {
+  /** Jobs whose arrival has been judged, with the displaced tasks that were counted since. */
+  private readonly judged = new Map<string, number>();
+
+  constructor(private readonly patienceMs: number) {}
+
+  observe(
+    census: Census,
+    pools: ReadonlyMap<string, Pool>,
+    machines: ReadonlyMap<string, LeasedMachine>,
+    now: number,
+  ): { pool: string; outcome: Outcome }[] {
+    const seen: { pool: string; outcome: Outcome }[] = [];
+    for (const job of census.jobs.values()) {
+      if (now - job.seenAt < this.patienceMs) continue;
+      const counted = this.judged.get(job.id);
+      const pages = [...(census.pages.get(job.id)?.values() ?? [])].map((entry) => entry.page);
+      const displaced = pages.reduce((sum, page) => sum + page.waiting.length, 0);
+      this.judged.set(job.id, displaced);
+      const on = pages.flatMap((page) => page.active).map(([, , machine]) => machines.get(machine));
+      const used = on.find((machine) => machine !== undefined);
+      const choices = poolsFor(job.spec, pools.values());
+      const pool = choices.find((p) => !p.exhausted) ?? choices[0];
+      const home = (used && pools.get(poolKey(used.type, used.spot))) ?? pool;
+      if (!pool || !home) continue;
+      const waits = census.waiting(job).reduce((sum, waiting) => sum + waiting.count, 0);
+      const arrived = counted === undefined;
+      const failed = arrived ? waits : Math.max(0, displaced - counted);
+      if (!arrived && failed === 0) continue;
+      const blamed = failed > 0 && pool.exhausted ? 0 : failed;
+      const target = failed > 0 ? pool : home;
+      const outcome = {
+        at: now,
+        tasks: arrived ? job.spec.tasks : 0,
+        failed: blamed,
+        m: target.machines.length + 1,
+      };
+      seen.push({ pool: target.key, outcome });
+    }
+    for (const id of this.judged.keys()) if (!census.jobs.has(id)) this.judged.delete(id);
+    return seen;
+  }
+}
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -203,3 +203,15 @@
   for (let i = 0; i + 1 < ranges.length; i += 2) size += (ranges[i + 1] ?? 0) - (ranges[i] ?? 0) + 1;
   return size;
 }
+
+/** The thresholds of a pool that were moved from where they start: [m, slots]. */
+export function ladderRecord(moved: [number, number][]): unknown {
+  return { moved };
+}
+
+export function parseLadder(value: unknown): [number, number][] {
+  return list(isFields(value) ? value['moved'] : undefined).map((entry) => {
+    const [m, slots] = list(entry);
+    return [number(m), number(slots)];
+  });
+}
