--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -14,6 +14,7 @@
 import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
+import { Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
 import { Witness } from './witness.js';
 
@@ -52,6 +53,7 @@
   private readonly releasing = new Set<string>();
   private pools = new Map<string, Pool>();
   private readonly ladders = new Map<string, { ladder: Ladder; tuner: Tuner }>();
+  private readonly surplus = new Surplus();
   private readonly witness: Witness;
   private tunedAt: number;
   private readonly refusals: Refusals;
@@ -158,7 +160,7 @@
       const { ladder } = this.of(pool.key);
       const want = ladder.rentTo(pool.machines.length, pool.counted);
       if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
-      else if (ladder.givesBack(pool.machines.length, pool.counted)) this.giveBack(pool);
+      else if (this.surplus.lasts(pool, ladder, now)) this.giveBack(pool);
     }
   }
 
--- a/src/ladder/ladder.test.ts
+++ b/src/ladder/ladder.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Ladder } from './ladder.js';
+import type { MachineType } from '../model/types.js';
+import type { LeasedMachine } from '../wire/records.js';
 import { Refusals } from './refusals.js';
+import { Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
 
 const shape = { slotShare: 0.125, start: 0.8 };
@@ -63,3 +66,22 @@
   refusals.granted('c8', 'a', true);
   assert.equal(refusals.refused('c8', 'a', true, 2999), false);
 });
+
+test('a surplus has to last for a boot time before a machine is given back', () => {
+  const ladder = new Ladder(shape);
+  const surplus = new Surplus();
+  const pool = (counted: number): Parameters<Surplus['lasts']>[0] => ({
+    ...{ key: 'c8/spot', counted, machines: new Array<LeasedMachine>(3) },
+    type: { bootS: 40 } as MachineType,
+  });
+  const trace: [number, number, boolean][] = [
+    [0, 5, false],
+    [39_000, 5, false],
+    [39_500, 20, false], // demand is back: the count starts anew
+    [40_000, 5, false],
+    [79_000, 5, false],
+    [80_000, 5, true],
+  ];
+  for (const [now, counted, lasts] of trace)
+    assert.equal(surplus.lasts(pool(counted), ladder, now), lasts, `at ${now}`);
+});
