Answers to reports wait for the commit of what they are to start

Cause: room freed by a report stayed empty until the next report, since the intent was committed after the answer.

--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -69,6 +69,10 @@
     for (const { scheduler } of this.tenures.values()) scheduler.poke();
   }
 
+  placeNow(board: Board): void {
+    this.tenures.get(board.block)?.scheduler.placeNow();
+  }
+
   /** Called after every batch of changes of the copy, which is where leases come and go. */
   follow(changes: Change[]): void {
     const { registry, settings, boot, signal } = this.ports;
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -140,6 +140,7 @@
       storeFailing: () => store.failing,
       answering: () => this.answeringFacts(),
       grantTtlMs: this.membership.ttlMs,
+      settleMs: settings.reportMs / 10,
     });
     const app = createWebApp([...this.intake.routes, desk.route], log);
     const listen = {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -42,6 +42,13 @@
     this.wanted = true;
   }
 
+  /** A round at once, for a report whose answer can carry its starts. */
+  placeNow(): void {
+    if (this.ports.signal.aborted || this.ports.store.failing) return;
+    this.place();
+    this.persist();
+  }
+
   /** A machine that tasks may be placed on. */
   usable(machine: MachineState): boolean {
     const { clock, settings } = this.ports;
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,9 +1,12 @@
-import type { Clock } from '../base/clock.js';
+import { type Clock, sleep } from '../base/clock.js';
 import type { Reply, Route } from '../base/web.js';
 import type { Registry } from '../blocks/registry.js';
 import type { Tenancy } from '../blocks/tenancy.js';
+import type { Order } from '../model/types.js';
+import type { Board } from '../placement/board.js';
 import { type AnsweringFacts, answerUntil, peerIsServed } from '../leadership/answering.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
+import type { MachineState } from './machine-state.js';
 
 export interface DeskPorts {
   clock: Clock;
@@ -14,8 +17,13 @@
   storeFailing: () => boolean;
   answering: () => AnsweringFacts;
   grantTtlMs: number;
+  /** How long an answer may wait for the commit of what it is to start. */
+  settleMs: number;
 }
 
+const pollMs = 5;
+const never = new AbortController().signal;
+
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
 export class WorkerDesk {
   constructor(private readonly ports: DeskPorts) {}
@@ -26,7 +34,7 @@
     handle: (body) => this.receive(body),
   };
 
-  receive(body: unknown): Reply {
+  async receive(body: unknown): Promise<Reply> {
     const { tenancy, storeFailing, answering, grantTtlMs } = this.ports;
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
@@ -41,8 +49,34 @@
     const result = board.report(machine, report, !storeFailing());
     // Somebody has leased the machine after us, and the watch has yet to tell us.
     if (result.verdict === 'outranked') return { status: 421, body: redirectAnswer(undefined) };
-    if (result.verdict === 'reconciled') tenancy.poke();
-    return { status: 200, body: reportAnswer(machine.token, result.orders) };
+    if (result.verdict !== 'reconciled')
+      return { status: 200, body: reportAnswer(machine.token, result.orders) };
+    const { token, seq } = machine;
+    const starts = await this.startsFor(board, machine);
+    // Whatever came in between, a start goes out only under the token that its intent was committed with.
+    const valid =
+      machine.token === token && machine.seq === seq && machine.releasing === '' && !storeFailing();
+    return {
+      status: 200,
+      body: reportAnswer(token, valid ? [...result.orders, ...starts()] : result.orders),
+    };
+  }
+
+  /**
+   * A report often says that there is room again. Its answer waits for the commit of what is placed into that room, a
+   * few milliseconds as a rule: otherwise the room would stay empty until the next report.
+   */
+  private async startsFor(board: Board, machine: MachineState): Promise<() => Order[]> {
+    const { tenancy, clock, settleMs } = this.ports;
+    const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
+    tenancy.placeNow(board);
+    const until = clock() + settleMs;
+    const placing = (): boolean => [...machine.tasks.values()].some((task) => task.phase === 'placing');
+    while (placing() && clock() < until) await sleep(pollMs, never);
+    return () =>
+      [...machine.tasks.values()]
+        .filter((task) => task.phase === 'placed' && !before.has(task) && !task.job.ended)
+        .map((task) => ({ kind: 'start', job: task.job.id, index: task.index, attempt: task.attempt }));
   }
 
   private sendOn(machine: string): Reply {
