Commit completions at once instead of after half a lease

Cause: the leader deals by what the store shows as free, and completed tasks stood there as running for up to 7 s, which left a fifth of the ordinary machines idle while work waited.

--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -109,11 +109,15 @@
     }
   }
 
+  /**
+   * Completions are gathered for a moment only: until they are committed, the leader takes their machines for full and
+   * deals nothing to them.
+   */
   private persistPages(job: JobState): void {
     const { clock, settings, commits } = this.ports;
     for (const [index, page] of job.pages) {
       const due =
-        page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > settings.leaseMs / 2);
+        page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > settings.reportMs / 8);
       if (due && !commits.full) void this.commitPage(job, index, page);
     }
   }
