--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -15,13 +15,13 @@
   type Part,
   type Shares,
   blockKey,
+  blockRecord,
   jobKey,
   jobRecord,
   leadKey,
-  tasksPerPage,
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { Rooms, bound } from './rooms.js';
+import { Rooms, undealt } from './rooms.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import type { Registry } from './registry.js';
 import { type TeamDemand, nextShares } from './shares.js';
@@ -45,14 +45,17 @@
 }
 
 const tickMs = 200;
+const freshEveryMs = 1000;
 
 /** The leader's leasing of machines, of shares of the teams' limits, and of jobs too big for one block. */
 export class Landlord {
   /** The copy must have reached this revision before we build on it again. */
   private committed = 0;
   private sharesAt = -Infinity;
+  private freshAt = -Infinity;
+  /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
+  private readonly uncertain = new Map<number, number>();
   private readonly aliveSince = new Map<string, number>();
-  private takenBackAt = 0;
 
   constructor(private readonly ports: LandlordPorts) {}
 
@@ -72,37 +75,71 @@
   }
 
   private async leaseBlocks(): Promise<void> {
-    const { settings, registry, census, fleet, commits, log, clock } = this.ports;
+    const { settings, registry, census, fleet } = this.ports;
     const blocks = registry.blocks();
-    const busy = new Set([...census.activeTasks()].map((task) => task.machine));
+    if (await this.settleUncertain(blocks)) return;
     const alive = this.alive();
     const next = nextBlocks({
       count: settings.controllers,
       blocks,
       alive,
       settled: new Set(alive.map((m) => m.label).filter((label) => this.settled(label))),
-      fresh: [...fleet.fresh.values()],
+      fresh: this.freshDue() ? [...fleet.fresh.values()] : [],
       gone: fleet.gone,
-      busy,
+      busy: census.loads(),
       unwanted: new Set([...fleet.unwanted, ...fleet.lost]),
-      moves: new Map(),
       waiting: (block, machine) => fleet.waiting(block, machine),
       shares: this.shares(blocks),
     });
     if (next.size === 0) return;
-    const conditions = [...next.keys()].map((block) => ({
-      key: blockKey(block),
-      version: registry.version(block),
-    }));
+    // One operation a block: several full records together would be more than a transaction holds. Each is safe without
+    // the others, since no machine and no part of a limit is given away that another block still has.
+    await Promise.all([...next].map(([block, record]) => this.leaseBlock(block, blocks.get(block), record)));
+  }
+
+  /**
+   * A lease whose fate is unknown may yet be carried out: what it gives to a block must not be given to another
+   * meanwhile. So such blocks are first written as they stand, which leaves the late one without its version.
+   */
+  private async settleUncertain(blocks: ReadonlyMap<number, BlockRecord>): Promise<boolean> {
+    const { registry } = this.ports;
+    for (const [block, version] of this.uncertain) {
+      if (registry.version(block) !== version) this.uncertain.delete(block);
+    }
+    const open = [...this.uncertain.keys()];
+    await Promise.all(
+      open.map((block) => this.leaseBlock(block, blocks.get(block), blocks.get(block) ?? emptyBlock())),
+    );
+    return open.length > 0;
+  }
+
+  private async leaseBlock(
+    block: number,
+    before: BlockRecord | undefined,
+    record: BlockRecord,
+  ): Promise<void> {
+    const { settings, registry, commits, log, clock, term } = this.ports;
     const outcome = await commits.commit(
-      [this.lead, ...conditions],
-      [...next].map(([block, record]) => ({ put: blockKey(block), value: record })),
+      [this.lead, { key: blockKey(block), version: registry.version(block) }],
+      [{ put: blockKey(block), value: blockRecord(record) }],
     );
     if (outcome.kind === 'applied') {
-      this.committed = outcome.revision;
-      for (const [block, record] of next) this.logOwner(block, blocks.get(block), record);
-    } else if (outcome.kind === 'unknown') await sleep(settings.reportMs / 4, this.ports.term.signal);
-    else log.debug({ event: 'lease-failed', outcome, at: clock() }, 'blocks not leased');
+      this.committed = Math.max(this.committed, outcome.revision);
+      this.logOwner(block, before, record);
+    } else if (outcome.kind === 'unknown') {
+      this.uncertain.set(block, registry.version(block));
+      await sleep(settings.reportMs / 4, term.signal);
+    } else if (outcome.kind === 'malformed') {
+      log.error({ event: 'block-refused', block, machines: record.machines.length }, 'block record refused');
+    } else log.debug({ event: 'lease-failed', block, outcome, at: clock() }, 'block not leased');
+  }
+
+  /** Machines are leased in batches: every new version of a block fails the intents that its owner has under way. */
+  private freshDue(): boolean {
+    const { clock } = this.ports;
+    if (clock() - this.freshAt < freshEveryMs) return false;
+    this.freshAt = clock();
+    return true;
   }
 
   private logOwner(block: number, before: BlockRecord | undefined, record: BlockRecord): void {
@@ -179,56 +216,26 @@
     return of;
   }
 
-  /** Deals out what no block has yet, in the order of work, and takes back what waits where it cannot start. */
+  /** Deals out what no block has yet, in the order of work. */
   private async dealJobs(): Promise<void> {
-    const { census, clock, registry, types, lookahead, settings } = this.ports;
+    const { census, registry, types, lookahead, settings } = this.ports;
+    const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
+    if (open.length === 0) return;
     const alive = (label: string): boolean => registry.isAlive(label);
     const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead });
-    const perPage = tasksPerPage(settings.state.valueBytes);
-    const jobs = [...census.jobs.values()].sort((a, b) => byOrderOfWork(a.spec, b.spec));
     const deals: Promise<void>[] = [];
-    for (const job of jobs) {
+    for (const job of open.sort((a, b) => byOrderOfWork(a.spec, b.spec))) {
       if (deals.length >= settings.state.txnOps / 2) break;
-      if (census.waiting(job)[0]?.block !== undefined) continue;
-      const parts = census.waiting(job).length > 0 ? rooms.deal(job.spec, job.parts) : undefined;
-      if (parts) deals.push(this.place(job, parts, []));
-    }
-    if (deals.length === 0 && clock() - this.takenBackAt > settings.reportMs) {
-      this.takenBackAt = clock();
-      const taken = this.takeBack(jobs, rooms, perPage);
-      if (taken) deals.push(this.place(taken.job, taken.parts, taken.pages));
+      const parts = rooms.deal(job.spec, job.parts);
+      if (parts) deals.push(this.place(job, parts));
     }
     await Promise.all(deals);
   }
 
-  /** One range whose block is full while another has room, less its tasks that never started. */
-  private takeBack(
-    jobs: CensusJob[],
-    rooms: Rooms,
-    perPage: number,
-  ): { job: CensusJob; parts: Part[]; pages: Condition[] } | undefined {
-    for (const job of jobs) {
-      if (bound(job.spec)) continue;
-      const now = rooms.of(job.spec);
-      if (!now.some((room) => room.free > 0)) continue;
-      for (const [i, range] of job.parts.entries()) {
-        const room = now.find((r) => r.block === range.block);
-        if (room && room.free > 0) continue;
-        const { count, pages } = this.ports.census.untouched(job, range, perPage);
-        if (count === 0) continue;
-        const kept = { ...range, count: range.count - count };
-        const parts = job.parts.map((part, j) => (j === i ? kept : part)).filter((part) => part.count > 0);
-        return { job, parts, pages };
-      }
-    }
-    return undefined;
-  }
-
-  /** Conditioned on the pages that say what has not started: whatever its owner commits meanwhile wins. */
-  private async place(job: CensusJob, parts: Part[], pages: Condition[]): Promise<void> {
+  private async place(job: CensusJob, parts: Part[]): Promise<void> {
     const { commits, log } = this.ports;
     const outcome = await commits.commit(
-      [this.lead, { key: jobKey(job.id), version: job.version }, ...pages],
+      [this.lead, { key: jobKey(job.id), version: job.version }],
       [{ put: jobKey(job.id), value: jobRecord({ spec: job.spec, parts }) }],
     );
     if (outcome.kind === 'applied') this.committed = Math.max(this.committed, outcome.revision);
--- a/src/blocks/leasing.ts
+++ b/src/blocks/leasing.ts
@@ -20,12 +20,10 @@
   /** Rented machines that belong to no block yet. */
   fresh: LeasedMachine[];
   gone: ReadonlySet<string>;
-  /** Machines with tasks, as of the blocks' present versions: these can neither move nor be dropped. */
-  busy: ReadonlySet<string>;
+  /** Machines with tasks, as of the blocks' present versions: these cannot be dropped. */
+  busy: { has: (machine: string) => boolean };
   /** Machines that are to be given back. */
   unwanted: ReadonlySet<string>;
-  /** Machines that are to belong to another block once they are empty. */
-  moves: ReadonlyMap<string, number>;
   /** Waiting work by block for machines like this one, in slots. */
   waiting: (block: number, machine: LeasedMachine) => number;
   shares: ReadonlyMap<number, Shares>;
@@ -43,13 +41,15 @@
   for (const record of blocks.values()) {
     record.machines = record.machines.filter((m) => !facts.gone.has(m.id) || facts.busy.has(m.id));
     for (const machine of record.machines) {
-      machine.leaving = facts.unwanted.has(machine.id) || facts.moves.has(machine.id);
+      machine.leaving = facts.unwanted.has(machine.id);
     }
   }
-  move(blocks, facts);
+  const known = new Set(
+    facts.fresh.length > 0 ? [...blocks.values()].flatMap((record) => record.machines.map((m) => m.id)) : [],
+  );
   for (const machine of facts.fresh) {
-    const known = [...blocks.values()].some((record) => record.machines.some((m) => m.id === machine.id));
-    if (!known && !facts.gone.has(machine.id)) homeOf(machine, blocks, facts)?.machines.push(machine);
+    if (!known.has(machine.id) && !facts.gone.has(machine.id))
+      homeOf(machine, blocks, facts)?.machines.push(machine);
   }
   for (const [block, record] of blocks) {
     if (sameRecord(facts.blocks.get(block), record)) blocks.delete(block);
@@ -85,20 +85,6 @@
   for (const machine of record.machines) machine.token = tokenOfThisCommit;
 }
 
-/** Only an empty machine changes blocks, and only after its owner can no longer place anything on it. */
-function move(blocks: Map<number, BlockRecord>, facts: LeaseFacts): void {
-  for (const [id, to] of facts.moves) {
-    for (const [block, record] of blocks) {
-      const wasLeaving = facts.blocks.get(block)?.machines.some((m) => m.id === id && m.leaving);
-      const machine = record.machines.find((m) => m.id === id);
-      if (!machine || block === to || !wasLeaving || facts.busy.has(id)) continue;
-      record.machines = record.machines.filter((m) => m.id !== id);
-      blocks.get(to)?.machines.push({ ...machine, token: tokenOfThisCommit, leaving: false });
-      break;
-    }
-  }
-}
-
 /**
  * A new machine goes to the controller of its own zone, so that a cut between zones leaves both halves working,
  * unless only others have work waiting for it.
@@ -130,5 +116,17 @@
 }
 
 function sameRecord(a: BlockRecord | undefined, b: BlockRecord): boolean {
-  return a !== undefined && JSON.stringify(a) === JSON.stringify(b);
+  return (
+    a !== undefined &&
+    a.owner === b.owner &&
+    a.boot === b.boot &&
+    a.machines.length === b.machines.length &&
+    a.machines.every((machine, i) => sameMachine(machine, b.machines[i])) &&
+    JSON.stringify(a.shares) === JSON.stringify(b.shares)
+  );
+}
+
+/** Its other facts never change. */
+function sameMachine(a: LeasedMachine, b: LeasedMachine | undefined): boolean {
+  return a.id === b?.id && a.token === b.token && a.leaving === b.leaving;
 }
--- a/src/blocks/rooms.ts
+++ b/src/blocks/rooms.ts
@@ -22,12 +22,14 @@
 
 /** The blocks' room for jobs at one moment; what is dealt in the meantime is taken off it. */
 export class Rooms {
-  private readonly used: Map<string, Resources>;
+  private readonly used: ReadonlyMap<string, Resources>;
+  /** Room by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
+  private readonly byKind = new Map<string, Room[]>();
   /** CPUs of tasks that wait in a block, by the kind of machine that they wait for. */
   private readonly waitingCpus = new Map<string, number>();
 
   constructor(private readonly facts: RoomFacts) {
-    this.used = usedByMachine(facts.census);
+    this.used = facts.census.loads();
     for (const job of facts.census.jobs.values()) {
       for (const { block, count } of facts.census.waiting(job)) {
         if (block !== undefined) this.take(job.spec, block, count);
@@ -37,10 +39,21 @@
 
   /** Roomiest first. Blocks whose owner is gone have none, unless all owners are. */
   of(spec: JobSpec): Room[] {
+    const key = [spec.cpus, spec.accelerators, spec.memoryGb, spec.spot, spec.zone, spec.types].join('/');
+    let kind = this.byKind.get(key);
+    if (!kind) this.byKind.set(key, (kind = this.measure(spec)));
+    const rooms = kind.map(({ block, free, size }) => {
+      const waiting = (this.waitingCpus.get(kindKey(spec, block)) ?? 0) / Math.max(spec.cpus, 1e-3);
+      return { block, free: Math.floor(free - waiting), size };
+    });
+    return rooms.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
+  }
+
+  private measure(spec: JobSpec): Room[] {
     const { blocks, alive, types, lookahead } = this.facts;
     const all = [...blocks];
     const served = all.filter(([, record]) => alive(record.owner));
-    const rooms = (served.length > 0 ? served : all).map(([block, record]) => {
+    return (served.length > 0 ? served : all).map(([block, record]) => {
       const machines = record.machines.filter((m) => !m.leaving && mayUse(spec, m));
       // Work that may use cheap machines leaves the others alone as long as there are cheap ones.
       const cheap = spec.spot ? machines.filter((m) => m.spot) : [];
@@ -57,10 +70,8 @@
           memoryGb: type.memoryGb - used.memoryGb,
         });
       }
-      const waiting = (this.waitingCpus.get(kindKey(spec, block)) ?? 0) / Math.max(spec.cpus, 1e-3);
-      return { block, free: Math.floor(free - waiting + size * lookahead), size };
+      return { block, free: free + size * lookahead, size };
     });
-    return rooms.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
   }
 
   take(spec: JobSpec, block: number, count: number): void {
@@ -157,19 +168,6 @@
   return merged;
 }
 
-/** What the tasks on each machine take of it. */
-function usedByMachine(census: Census): Map<string, Resources> {
-  const used = new Map<string, Resources>();
-  for (const { page, machine } of census.activeTasks()) {
-    const entry = used.get(machine) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
-    entry.cpus += page.cpus;
-    entry.accelerators += page.accelerators;
-    entry.memoryGb += page.memoryGb;
-    used.set(machine, entry);
-  }
-  return used;
-}
-
 function kindKey(spec: JobSpec, block: number): string {
   return `${block}/${spec.spot ? 'spot' : 'ordinary'}`;
 }
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -5,13 +5,14 @@
 import type { MachineType } from '../model/types.js';
 import { Board } from '../placement/board.js';
 import type { Census } from '../placement/census.js';
+import type { Task } from '../placement/job-state.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type BlockRecord, blockKey, tasksPerPage } from '../wire/records.js';
+import { type BlockRecord, blockKey, blockRecord } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { Custody } from '../workers/custody.js';
 import type { MachineState } from '../workers/machine-state.js';
@@ -73,6 +74,11 @@
     this.tenures.get(board.block)?.scheduler.placeNow();
   }
 
+  /** Settles once it is known which of these tasks may start, or when the time is up. */
+  async decided(board: Board, tasks: () => Iterable<Task>, withinMs: number): Promise<void> {
+    await this.tenures.get(board.block)?.scheduler.decided(tasks, withinMs);
+  }
+
   /** Called after every batch of changes of the copy, which is where leases come and go. */
   follow(changes: Change[]): void {
     const { registry, settings, boot, signal } = this.ports;
@@ -107,7 +113,7 @@
     giveTo(renewed, { label: settings.label, boot, zone: settings.zone });
     const outcome = await commits.commit(
       [{ key: blockKey(block), version }],
-      [{ put: blockKey(block), value: renewed }],
+      [{ put: blockKey(block), value: blockRecord(renewed) }],
     );
     log.info({ event: 'lease-renewed', block, outcome: outcome.kind }, 'lease of an earlier life renewed');
     // Whether it was applied, the watch tells; were it not, the next change tries again.
@@ -119,8 +125,8 @@
     const { settings, log, clock, mirror } = ports;
     const stop = new AbortController();
     const { signal } = stop;
-    const perPage = tasksPerPage(settings.state.valueBytes);
-    const board = new Board({ block, perPage, reportMs: settings.reportMs, clock });
+    const { valueBytes } = settings.state;
+    const board = new Board({ block, valueBytes, reportMs: settings.reportMs, clock });
     board.load(mirror);
     const scheduler = new Scheduler({ ...ports, board, signal: stop.signal });
     const custody = new Custody({ ...ports, board, signal: stop.signal, onFreed: () => scheduler.poke() });
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -28,8 +28,8 @@
 import { type Part, leadKey } from './wire/records.js';
 import { WorkerDesk } from './workers/desk.js';
 
-const watchGapMs = 200;
 const probeMs = 400;
+const roomsEveryMs = 300;
 const typesEveryMs = 30_000;
 const typesRetryMs = 1000;
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
@@ -57,6 +57,8 @@
   private readonly peers: PeerLinks;
   private readonly intake: Intake;
   private fleet: Fleet | undefined;
+  private rooms: Rooms | undefined;
+  private roomsAt = -Infinity;
 
   constructor(
     private readonly settings: Settings,
@@ -68,7 +70,7 @@
     // Every call in flight listens on it, and there may be many.
     setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
-    const mirror = new Mirror(store, watchGapMs);
+    const mirror = new Mirror(store, store.watchGapMs);
     const census = new Census(clock);
     const registry = new Registry(mirror);
     const cloud = new CloudClient(settings, clock, signal);
@@ -140,6 +142,7 @@
       storeFailing: () => store.failing,
       answering: () => this.answeringFacts(),
       grantTtlMs: this.membership.ttlMs,
+      reportMs: settings.reportMs,
       settleMs: settings.reportMs / 10,
     });
     const app = createWebApp([...this.intake.routes, desk.route], log);
@@ -201,9 +204,15 @@
   private home(spec: JobSpec): Part[] {
     const { registry, census, types, election } = this;
     const alive = (label: string): boolean => registry.isAlive(label);
-    const rooms = new Rooms({ blocks: registry.blocks(), alive, types, census, lookahead: 0 });
+    // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
+    if (!this.rooms || this.clock() - this.roomsAt > roomsEveryMs) {
+      this.rooms = new Rooms({ blocks: registry.blocks(), alive, types, census, lookahead: 0 });
+      this.roomsAt = this.clock();
+    }
+    const parts = this.rooms.whole(spec);
+    for (const { block, count } of parts ?? []) this.rooms.take(spec, block, count);
     // Without a leader there is nobody to deal: the blocks then share it by their sizes.
-    return rooms.whole(spec) ?? (election.leader === undefined ? rooms.bySize(spec) : []);
+    return parts ?? (election.leader === undefined ? this.rooms.bySize(spec) : []);
   }
 
   private heed(status: PeerStatus): void {
@@ -257,6 +266,7 @@
         await this.store.read(leadKey).catch(() => undefined);
       }
       this.tenancy.follow([]);
+      this.store.setRole(this.election.term !== undefined, this.registry.alive().length);
       await sleep(probeMs, signal);
     }
   }
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -2,7 +2,7 @@
 import { sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
-import { type CloudClient, releaseLimit } from '../cloud/client.js';
+import { type CloudClient, releaseLimit, rentalLimit } from '../cloud/client.js';
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
 import type { Census } from '../placement/census.js';
@@ -160,7 +160,7 @@
       const { ladder } = this.of(pool.key);
       const want = ladder.rentTo(pool.machines.length, pool.counted);
       if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
-      else if (this.surplus.lasts(pool, ladder, now)) this.giveBack(pool);
+      this.giveBack(pool, this.surplus.lasting(pool, ladder, now));
     }
   }
 
@@ -215,7 +215,7 @@
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
-    const { clock, wallClock, cloud, log, term } = this.ports;
+    const { term } = this.ports;
     let missing = count;
     // A machine on its way out is the quickest to have back.
     const back = pool.leaving.filter((m) => !this.lost.has(m.id) && !this.releasing.has(m.id));
@@ -224,27 +224,37 @@
       missing--;
     }
     for (const [zone, share] of this.zonesFor(pool, missing)) {
-      if (term.signal.aborted) return;
-      const outcome = await cloud.rent(pool.type.name, zone, pool.spot, share);
-      const rented = outcome.kind === 'rented' ? outcome.machines : [];
-      for (const id of rented) {
-        const { name: type } = pool.type;
-        this.fresh.set(id, { id, token: 0, type, zone, spot: pool.spot, leaving: false, since: wallClock() });
-      }
-      if (rented.length > 0) {
-        this.refusals.granted(pool.type.name, zone, pool.spot);
-        log.info({ event: 'rented', pool: pool.key, zone, asked: share, machines: rented }, 'rented');
-      }
-      if (rented.length < share) {
-        this.refusals.refuse(pool.type.name, zone, pool.spot, clock());
-        log.info(
-          { event: 'rental-refused', pool: pool.key, zone, asked: share, why: outcome.kind },
-          'capacity refused',
-        );
+      // One call rents only so many; a fleet that starts from nothing takes several for each zone.
+      for (let left = share; left > 0 && !term.signal.aborted; left -= rentalLimit) {
+        if (!(await this.rentIn(pool, zone, Math.min(left, rentalLimit)))) break;
       }
     }
   }
 
+  /** True: got all that was asked for. */
+  private async rentIn(pool: Pool, zone: string, asked: number): Promise<boolean> {
+    const { clock, wallClock, cloud, log } = this.ports;
+    const { name: type } = pool.type;
+    const outcome = await cloud.rent(type, zone, pool.spot, asked);
+    const rented = outcome.kind === 'rented' ? outcome.machines : [];
+    for (const id of rented) {
+      this.fresh.set(id, { id, token: 0, type, zone, spot: pool.spot, leaving: false, since: wallClock() });
+    }
+    if (rented.length > 0) {
+      this.refusals.granted(type, zone, pool.spot);
+      const count = rented.length;
+      log.info(
+        { event: 'rented', pool: pool.key, zone, asked, count, first: rented[0], last: rented.at(-1) },
+        'rented',
+      );
+    }
+    // Nothing was rented where the cloud only asks us to slow down; the next step asks again.
+    if (rented.length === asked || outcome.kind === 'busy') return rented.length === asked;
+    this.refusals.refuse(type, zone, pool.spot, clock());
+    log.info({ event: 'rental-refused', pool: pool.key, zone, asked, why: outcome.kind }, 'capacity refused');
+    return false;
+  }
+
   /** Each machine in the zone with the fewest of its type, of those that have not just refused. */
   private zonesFor(pool: Pool, count: number): Map<string, number> {
     const { clock } = this.ports;
@@ -261,19 +271,20 @@
     return shares;
   }
 
-  /** An empty machine if there is one, else the least loaded is drained. */
-  private giveBack(pool: Pool): void {
+  /** Empty machines if there are any, else the least loaded are drained. */
+  private giveBack(pool: Pool, count: number): void {
+    if (count === 0) return;
     const { wallClock, census, operator } = this.ports;
-    const load = new Map<string, number>();
-    for (const { page, machine } of census.activeTasks()) {
-      load.set(machine, (load.get(machine) ?? 0) + slotsOf(page, pool.type, operator.ladder));
-    }
-    const loadOf = (machine: LeasedMachine): number => load.get(machine.id) ?? 0;
+    const loads = census.loads();
+    const loadOf = (machine: LeasedMachine): number => {
+      const load = loads.get(machine.id);
+      return load ? slotsOf(load, pool.type, operator.ladder) : 0;
+    };
     // Placement fills machines in order of name, so the last ones empty first.
     const least = pool.machines
       .filter((machine) => wallClock() - machine.since >= minimumChargeMs)
-      .sort((a, b) => loadOf(a) - loadOf(b) || (a.id < b.id ? 1 : -1))[0];
-    if (least) this.unwanted.add(least.id);
+      .sort((a, b) => loadOf(a) - loadOf(b) || (a.id < b.id ? 1 : -1));
+    for (const machine of least.slice(0, count)) this.unwanted.add(machine.id);
   }
 
   /**
@@ -284,7 +295,7 @@
     const { cloud, term, log, census } = this.ports;
     while (!term.signal.aborted) {
       await sleep(tickMs / 2, term.signal);
-      const busy = new Set([...census.activeTasks()].map((task) => task.machine));
+      const busy = census.loads();
       const leased = this.ports.leased();
       const due = [...this.unwanted, ...this.lost].filter((id) => {
         const record = leased.get(id);
@@ -297,7 +308,7 @@
       for (const id of batch) this.releasing.delete(id);
       if (!released) continue;
       this.noteGone(batch);
-      log.info({ event: 'given-back', machines: batch }, 'given back');
+      log.info({ event: 'given-back', count: batch.length, machines: batch }, 'given back');
     }
   }
 }
--- a/src/ladder/witness.ts
+++ b/src/ladder/witness.ts
@@ -23,7 +23,7 @@
     for (const job of census.jobs.values()) {
       if (now - job.seenAt < this.patienceMs) continue;
       const counted = this.judged.get(job.id);
-      const pages = [...(census.pages.get(job.id)?.values() ?? [])].map((entry) => entry.page);
+      const pages = [...census.entries(job.id)];
       const displaced = pages.reduce((sum, page) => sum + page.waiting.length, 0);
       this.judged.set(job.id, displaced);
       const on = pages.flatMap((page) => page.active).map(([, , machine]) => machines.get(machine));
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -100,9 +100,8 @@
   }
 
   private async serve(term: Term, signal: AbortSignal): Promise<void> {
-    const { store, mirror, log, onTerm } = this.ports;
+    const { mirror, log, onTerm } = this.ports;
     this.current = term;
-    store.setLeading(true);
     const onAbort = (): void => term.end('stopping');
     signal.addEventListener('abort', onAbort, { once: true });
     const unlisten = mirror.listen(() => {
@@ -117,7 +116,6 @@
       signal.removeEventListener('abort', onAbort);
       term.end('duties ended');
       this.current = undefined;
-      store.setLeading(false);
       log.info({ event: 'term-over', token: term.token, why: term.reason }, 'no longer leader');
     }
   }
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -8,18 +8,21 @@
   endKey,
   parseEnd,
   parseJobRecord,
-  parseRunKey,
-  parseRunPage,
+  ledgerPrefix,
+  parseLedgerKey,
+  parseLedgerPage,
+  tasksPerChunk,
 } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
-import { JobState, type Task } from './job-state.js';
+import { JobState, type JobFacts, type Task } from './job-state.js';
+import { Ledger } from './ledger.js';
 import { Usage } from './plan.js';
 
 export interface BoardOptions {
   block: number;
-  perPage: number;
+  valueBytes: number;
   reportMs: number;
   clock: Clock;
 }
@@ -37,10 +40,13 @@
   readonly machines = new Map<string, MachineState>();
   /** Proven gone, however long the block's record or a late report still speaks of them. */
   private readonly gone = new Map<string, number>();
+  readonly ledger: Ledger;
   private blockVersion = 0;
   private shares: Shares = {};
 
-  constructor(private readonly options: BoardOptions) {}
+  constructor(private readonly options: BoardOptions) {
+    this.ledger = new Ledger(options.valueBytes);
+  }
 
   get block(): number {
     return this.options.block;
@@ -52,7 +58,8 @@
 
   load(mirror: Mirror): void {
     for (const [key, entry] of mirror.below('job/')) this.setJob(key, entry.value, entry.version);
-    for (const [key, entry] of mirror.below('run/')) this.addPage(key, entry.value, entry.version);
+    for (const [key, entry] of mirror.below(ledgerPrefix(this.block)))
+      this.addPage(key, entry.value, entry.version);
     for (const job of this.jobs.values()) {
       const end = parseEnd(mirror.get(endKey(job.id))?.value);
       if (end) this.endJob(job, end.end);
@@ -198,7 +205,7 @@
   /** Drops intents that are not committed and now never will be; where that commit is under way, it decides. */
   private withdraw(job: JobState): void {
     for (const task of [...job.tasks.values()]) {
-      if (task.phase === 'placing' && !job.pages.get(job.pageOf(task.index))?.busy) this.takeOff(task);
+      if (task.phase === 'placing' && job.pageOf(task.index)?.busy !== true) this.takeOff(task);
     }
   }
 
@@ -215,11 +222,11 @@
     const record = parseJobRecord(value);
     if (!record || key !== `job/${record.spec.id}`) return;
     const { spec, parts } = record;
-    const { block, perPage } = this.options;
+    const { block } = this;
     let job = this.jobs.get(spec.id);
     if (!job) {
       if (!parts.some((part) => part.block === block)) return;
-      job = JobState.of(spec, version, block, perPage);
+      job = JobState.of(spec, version, this.place);
       this.jobs.set(spec.id, job);
     }
     job.assignRanges(parts, version);
@@ -230,15 +237,23 @@
   }
 
   private addPage(key: string, value: unknown, version: number): void {
-    const run = parseRunKey(key);
-    const page = parseRunPage(value);
-    if (!run || !page || page.block !== this.options.block) return;
-    let job = this.jobs.get(run.id);
-    if (!job) {
-      job = JobState.leftover(run.id, page, this.options.perPage);
-      this.jobs.set(run.id, job);
+    const at = parseLedgerKey(key);
+    if (!at) return;
+    const page = this.ledger.page(at.page);
+    page.version = version;
+    for (const entry of parseLedgerPage(value)) {
+      let job = this.jobs.get(entry.id);
+      if (!job) {
+        job = JobState.leftover(entry, this.place);
+        this.jobs.set(entry.id, job);
+      }
+      for (const task of job.load(entry, page)) this.put(task, this.machine(task.machine));
     }
-    for (const task of job.loadPage(run.page, page, version)) this.put(task, this.machine(task.machine));
+  }
+
+  private get place(): Pick<JobFacts, 'block' | 'perChunk' | 'ledger'> {
+    const { block, ledger } = this;
+    return { block, ledger, perChunk: tasksPerChunk(this.options.valueBytes) };
   }
 }
 
--- a/src/placement/census.ts
+++ b/src/placement/census.ts
@@ -2,21 +2,18 @@
 import type { Mirror } from '../store/mirror.js';
 import {
   type JobRecord,
-  type RunPage,
+  type LedgerEntry,
   parseJobRecord,
-  parseRunKey,
-  type Part,
-  fromRanges,
-  parseRunPage,
+  parseLedgerKey,
+  parseLedgerPage,
   rangesSize,
-  runKey,
 } from '../wire/records.js';
-import type { Change, Condition } from '../wire/state.js';
+import type { Change } from '../wire/state.js';
 
-export interface CensusPage {
-  page: RunPage;
-  done: number;
-  version: number;
+/** What a block has on record of a job. */
+export interface CensusEntry extends LedgerEntry {
+  block: number;
+  doneCount: number;
 }
 
 export interface CensusJob extends JobRecord {
@@ -29,14 +26,18 @@
 /** All open jobs and all tasks on machines, as the store has them: the same on every controller, a moment late. */
 export class Census {
   readonly jobs = new Map<string, CensusJob>();
-  /** Pages by job; those of an ended job stay until its tasks have left their machines. */
-  readonly pages = new Map<string, Map<string, CensusPage>>();
+  private readonly pages = new Map<string, CensusEntry[]>();
+  /** Entries by job; those of an ended job stay until its tasks have left their machines. */
+  private readonly byJob = new Map<string, Set<CensusEntry>>();
+  private loadsNow: Map<string, Resources> | undefined;
 
   constructor(private readonly clock: () => number) {}
 
   load(mirror: Mirror): void {
     this.jobs.clear();
     this.pages.clear();
+    this.byJob.clear();
+    this.loadsNow = undefined;
     for (const [key, entry] of mirror.below('job/')) this.set(key, entry.value, entry.version);
     for (const [key, entry] of mirror.below('run/')) this.set(key, entry.value, entry.version);
   }
@@ -44,26 +45,47 @@
   apply(changes: Change[]): void {
     for (const change of changes) {
       if (!change.deleted) this.set(change.key, change.value, change.version);
-      else this.drop(change.key);
+      else if (change.key.startsWith('job/')) this.jobs.delete(change.key.slice('job/'.length));
+      else if (change.key.startsWith('run/')) this.setPage(change.key, []);
+    }
+  }
+
+  entries(id: string): Iterable<CensusEntry> {
+    return this.byJob.get(id) ?? [];
+  }
+
+  *activeTasks(): Iterable<{ id: string; page: CensusEntry; machine: string }> {
+    for (const entries of this.pages.values()) {
+      for (const page of entries)
+        for (const [, , machine] of page.active) yield { id: page.id, page, machine };
     }
   }
 
-  *activeTasks(): Iterable<{ id: string; page: RunPage; machine: string }> {
-    for (const [id, pages] of this.pages) {
-      for (const { page } of pages.values()) {
-        for (const [, , machine] of page.active) yield { id, page, machine };
+  /** What the tasks on each machine take of it; machines without any are not in it. */
+  loads(): ReadonlyMap<string, Resources> {
+    if (this.loadsNow) return this.loadsNow;
+    const loads = new Map<string, Resources>();
+    for (const { page, machine } of this.activeTasks()) {
+      const load = loads.get(machine);
+      if (!load) loads.set(machine, needOf(page));
+      else {
+        load.cpus += page.cpus;
+        load.accelerators += page.accelerators;
+        load.memoryGb += page.memoryGb;
       }
     }
+    this.loadsNow = loads;
+    return loads;
   }
 
   /** Done, and on machines, of what one block has of a job or of all of it. */
   progress(id: string, block?: number): { done: number; active: number } {
     let done = 0;
     let active = 0;
-    for (const entry of this.pages.get(id)?.values() ?? []) {
-      if (block !== undefined && entry.page.block !== block) continue;
-      done += entry.done;
-      active += entry.page.active.length;
+    for (const entry of this.entries(id)) {
+      if (block !== undefined && entry.block !== block) continue;
+      done += entry.doneCount;
+      active += entry.active.length;
     }
     return { done, active };
   }
@@ -85,28 +107,6 @@
     return waiting;
   }
 
-  /** How many tasks at the end of a range never started, and the versions of the pages that say so. */
-  untouched(job: CensusJob, range: Part, perPage: number): { count: number; pages: Condition[] } {
-    let last = range.first - 1;
-    const end = range.first + range.count;
-    const pages: Condition[] = [];
-    for (let page = Math.floor(range.first / perPage); page * perPage < end; page++) {
-      const key = runKey(job.id, range.block, page);
-      const entry = this.pages.get(job.id)?.get(key);
-      pages.push({ key, version: entry?.version ?? 0 });
-      if (!entry) continue;
-      const touched = [
-        ...entry.page.active.map(([n]) => n),
-        ...entry.page.waiting.map(([n]) => n),
-        ...entry.page.done,
-      ];
-      for (const index of touched) if (index < end) last = Math.max(last, index);
-      // A range of done tasks may reach beyond this one.
-      for (const index of fromRanges(entry.page.done)) if (index < end) last = Math.max(last, index);
-    }
-    return { count: end - 1 - last, pages };
-  }
-
   private set(key: string, value: unknown, version: number): void {
     if (key.startsWith('job/')) {
       const record = parseJobRecord(value);
@@ -115,24 +115,29 @@
       this.jobs.set(id, { ...record, id, version, seenAt: this.jobs.get(id)?.seenAt ?? this.clock() });
       return;
     }
-    const run = parseRunKey(key);
-    const page = run && parseRunPage(value);
-    if (!run || !page) return;
-    let pages = this.pages.get(run.id);
-    if (!pages) {
-      pages = new Map<string, CensusPage>();
-      this.pages.set(run.id, pages);
-    }
-    pages.set(key, { page, done: rangesSize(page.done), version });
+    const at = parseLedgerKey(key);
+    if (!at) return;
+    const { block } = at;
+    this.setPage(
+      key,
+      parseLedgerPage(value).map((e) => ({ ...e, block, doneCount: rangesSize(e.done) })),
+    );
   }
 
-  private drop(key: string): void {
-    if (key.startsWith('job/')) this.jobs.delete(key.slice('job/'.length));
-    const run = parseRunKey(key);
-    if (!run) return;
-    const pages = this.pages.get(run.id);
-    pages?.delete(key);
-    if (pages?.size === 0) this.pages.delete(run.id);
+  private setPage(key: string, entries: CensusEntry[]): void {
+    this.loadsNow = undefined;
+    for (const old of this.pages.get(key) ?? []) {
+      const ofJob = this.byJob.get(old.id);
+      ofJob?.delete(old);
+      if (ofJob?.size === 0) this.byJob.delete(old.id);
+    }
+    if (entries.length > 0) this.pages.set(key, entries);
+    else this.pages.delete(key);
+    for (const entry of entries) {
+      const ofJob = this.byJob.get(entry.id);
+      if (ofJob) ofJob.add(entry);
+      else this.byJob.set(entry.id, new Set([entry]));
+    }
   }
 }
 
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, Resources } from '../model/types.js';
-import type { End, Part, RunPage } from '../wire/records.js';
+import type { End, LedgerEntry, Part } from '../wire/records.js';
 import { fromRanges, toRanges } from '../wire/records.js';
+import type { Chunk, Dirt, Ledger, LedgerPage } from './ledger.js';
 
 /**
  * `placing`: chosen in memory only, no machine may hear of it. `placed`: the intent is committed, so the machine
@@ -17,16 +18,6 @@
   running: boolean;
 }
 
-/** `soon`: what changed can also be learned from the workers again. `now`: something waits for the commit. */
-export type Dirt = 'clean' | 'soon' | 'now';
-
-export interface PageState {
-  version: number;
-  dirt: Dirt;
-  dirtySince: number;
-  busy: boolean;
-}
-
 export interface JobFacts {
   id: string;
   spec: JobSpec | undefined;
@@ -35,7 +26,8 @@
   /** Version of the job's record; it is gone once the job has ended. */
   version: number;
   block: number;
-  perPage: number;
+  perChunk: number;
+  ledger: Ledger;
 }
 
 /**
@@ -48,14 +40,17 @@
   readonly team: string;
   readonly need: Resources;
   readonly block: number;
-  readonly perPage: number;
+  private readonly perChunk: number;
+  private readonly ledger: Ledger;
   version: number;
+  /** The version of its record that the store has turned down: no task is placed until the watch brings a newer one. */
+  rejected = -1;
   /** The block of the job's first range is the one that asks for its end. */
   first = false;
   /** All of the job's tasks are this block's. */
   whole = false;
   readonly tasks = new Map<number, Task>();
-  readonly pages = new Map<number, PageState>();
+  readonly chunks = new Map<number, Chunk>();
   private ranges: Part[] = [];
   private size = 0;
   private readonly done = new Set<number>();
@@ -76,19 +71,20 @@
     this.need = facts.need;
     this.version = facts.version;
     this.block = facts.block;
-    this.perPage = facts.perPage;
+    this.perChunk = facts.perChunk;
+    this.ledger = facts.ledger;
   }
 
-  static of(spec: JobSpec, version: number, block: number, perPage: number): JobState {
+  static of(spec: JobSpec, version: number, at: Pick<JobFacts, 'block' | 'perChunk' | 'ledger'>): JobState {
     const { id, team, cpus, accelerators, memoryGb } = spec;
-    return new JobState({ id, spec, team, need: { cpus, accelerators, memoryGb }, version, block, perPage });
+    return new JobState({ id, spec, team, need: { cpus, accelerators, memoryGb }, version, ...at });
   }
 
   /** A job whose record has gone: it has ended, yet tasks of it may still be on machines. */
-  static leftover(id: string, page: RunPage, perPage: number): JobState {
-    const { team, cpus, accelerators, memoryGb, block } = page;
+  static leftover(entry: LedgerEntry, at: Pick<JobFacts, 'block' | 'perChunk' | 'ledger'>): JobState {
+    const { id, team, cpus, accelerators, memoryGb } = entry;
     const need = { cpus, accelerators, memoryGb };
-    const job = new JobState({ id, spec: undefined, team, need, version: 0, block, perPage });
+    const job = new JobState({ id, spec: undefined, team, need, version: 0, ...at });
     job.ended = 'cancelled';
     return job;
   }
@@ -144,15 +140,17 @@
     for (const index of indices) this.committed.add(index);
   }
 
-  loadPage(pageIndex: number, page: RunPage, version: number): Task[] {
-    this.pages.set(pageIndex, { version, dirt: 'clean', dirtySince: 0, busy: false });
-    for (const index of fromRanges(page.done)) {
+  /** Takes over what the store has, and returns the tasks that are on machines. */
+  load(entry: LedgerEntry, page: LedgerPage): Task[] {
+    const most = this.spec ? this.chunkSize : entry.active.length + entry.waiting.length;
+    this.chunks.set(entry.chunk, this.ledger.add(this, entry.chunk, most, page));
+    for (const index of fromRanges(entry.done)) {
       this.done.add(index);
       this.committed.add(index);
     }
-    for (const [index, attempt] of page.waiting) this.touch(index, attempt);
+    for (const [index, attempt] of entry.waiting) this.touch(index, attempt);
     const active: Task[] = [];
-    for (const [index, attempt, machine] of page.active) {
+    for (const [index, attempt, machine] of entry.active) {
       const task = this.touch(index, attempt);
       this.assign(task, machine, 'placed');
       active.push(task);
@@ -188,7 +186,7 @@
     task.running = false;
     this.activeCount--;
     if (!this.holds(task.index)) this.tasks.delete(task.index);
-    else this.soil(task.index, 'now', now);
+    this.soil(task.index, 'soon', now);
   }
 
   finish(index: number, now: number): boolean {
@@ -198,59 +196,65 @@
     this.tasks.delete(index);
     this.done.add(index);
     this.failures = 0;
-    this.soil(index, this.complete ? 'now' : 'soon', now);
+    this.soil(index, 'soon', now);
     return true;
   }
 
-  pageOf(index: number): number {
-    return Math.floor(index / this.perPage);
+  /** The page that records the task, once there is anything to record of its chunk. */
+  pageOf(index: number): LedgerPage | undefined {
+    return this.chunks.get(this.chunkOf(index))?.page;
   }
 
-  soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
-    this.soilPage(this.pageOf(index), dirt, now);
+  /** The entry as it should stand in the store, and the completed tasks that it names. */
+  entryOf(chunk: number): { entry: LedgerEntry; done: number[] } {
+    const first = chunk * this.perChunk;
+    const last = Math.min(first + this.perChunk, this.spec?.tasks ?? 0);
+    const active: LedgerEntry['active'] = [];
+    const waiting: LedgerEntry['waiting'] = [];
+    const done: number[] = [];
+    for (let index = first; index < last; index++) if (this.done.has(index)) done.push(index);
+    for (const task of this.tasksOf(chunk)) {
+      if (task.phase !== 'waiting') active.push([task.index, task.attempt, task.machine]);
+      else if (task.attempt > 0) waiting.push([task.index, task.attempt]);
+    }
+    const { id, team, need } = this;
+    return { entry: { id, chunk, team, ...need, active, waiting, done: toRanges(done) }, done };
   }
 
-  soilPage(pageIndex: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
-    let page = this.pages.get(pageIndex);
-    if (!page) {
-      page = { version: 0, dirt: 'clean', dirtySince: now, busy: false };
-      this.pages.set(pageIndex, page);
-    }
-    if (page.dirt === 'clean') page.dirtySince = now;
-    if (page.dirt !== 'now') page.dirt = dirt;
+  /** Tasks of the chunk that are, were or are about to be on a machine, and are not done. */
+  *tasksOf(chunk: number): Iterable<Task> {
+    for (const task of this.tasks.values()) if (this.chunkOf(task.index) === chunk) yield task;
   }
 
-  /** The page as it should stand in the store, with the tasks that its commit would turn from placing to placed. */
-  snapshot(pageIndex: number): { page: RunPage; placing: Task[]; done: number[] } {
-    const first = pageIndex * this.perPage;
-    const last = first + this.perPage;
-    const placing: Task[] = [];
-    const active: RunPage['active'] = [];
-    const waiting: RunPage['waiting'] = [];
-    const done: number[] = [];
-    for (let index = first; index < Math.min(last, this.spec?.tasks ?? 0); index++)
-      if (this.isDone(index)) done.push(index);
-    for (const task of this.tasks.values()) {
-      if (task.index < first || task.index >= last) continue;
-      if (task.phase === 'waiting') {
-        if (task.attempt > 0) waiting.push([task.index, task.attempt]);
-        continue;
-      }
-      active.push([task.index, task.attempt, task.machine]);
-      if (task.phase === 'placing') placing.push(task);
+  /** An ended job without tasks on machines needs no record of its run. */
+  leaveLedger(now: number): void {
+    for (const chunk of this.chunks.values()) {
+      chunk.page.drop(chunk);
+      chunk.page.soil('soon', now);
     }
-    const { team, need, block } = this;
-    return {
-      page: { block, team, ...need, active, waiting, done: toRanges(done) },
-      placing,
-      done,
-    };
+    this.chunks.clear();
   }
 
   holds(index: number): boolean {
     return this.ranges.some((range) => index >= range.first && index < range.first + range.count);
   }
 
+  private chunkOf(index: number): number {
+    return Math.floor(index / this.perChunk);
+  }
+
+  private get chunkSize(): number {
+    return Math.min(this.perChunk, this.spec?.tasks ?? this.perChunk);
+  }
+
+  private soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
+    const at = this.chunkOf(index);
+    let chunk = this.chunks.get(at);
+    if (!chunk) this.chunks.set(at, (chunk = this.ledger.add(this, at, this.chunkSize)));
+    chunk.entry = undefined;
+    chunk.page.soil(dirt, now);
+  }
+
   private touch(index: number, attempt: number): Task {
     let task = this.tasks.get(index);
     if (!task) {
--- /dev/null
+++ b/src/placement/ledger.ts
@@ -0,0 +1,101 @@
+import { type LedgerEntry, entryBytes } from '../wire/records.js';
+import type { JobState, Task } from './job-state.js';
+
+/** `soon`: what changed can also be learned from the workers again. `now`: something waits for the commit. */
+export type Dirt = 'clean' | 'soon' | 'now';
+
+/** Consecutive tasks of a job that share an entry of the ledger. */
+export interface Chunk {
+  readonly job: JobState;
+  readonly index: number;
+  readonly page: LedgerPage;
+  readonly bytes: number;
+  /** Its entry as last built, while nothing of it has changed since. */
+  entry: LedgerEntry | undefined;
+}
+
+export class LedgerPage {
+  version = 0;
+  dirt: Dirt = 'clean';
+  dirtySince = 0;
+  busy = false;
+  /** Settles with the commit that is under way. */
+  commit: Promise<void> = Promise.resolve();
+  bytes = 0;
+  readonly chunks = new Set<Chunk>();
+
+  constructor(readonly index: number) {}
+
+  soil(dirt: Exclude<Dirt, 'clean'>, now: number): void {
+    if (this.dirt === 'clean') this.dirtySince = now;
+    if (this.dirt !== 'now') this.dirt = dirt;
+  }
+
+  drop(chunk: Chunk): void {
+    if (this.chunks.delete(chunk)) this.bytes -= chunk.bytes;
+  }
+}
+
+export interface PageSnapshot {
+  entries: LedgerEntry[];
+  placing: Task[];
+  done: { job: JobState; indices: number[] }[];
+}
+
+/**
+ * The pages in which a block's owner records what it has started. A chunk gets its place when it first has anything to
+ * record and keeps it, with room for the most that it can grow to: a page never outgrows a value of the store.
+ */
+export class Ledger {
+  readonly pages = new Map<number, LedgerPage>();
+
+  constructor(private readonly valueBytes: number) {}
+
+  page(index: number): LedgerPage {
+    let page = this.pages.get(index);
+    if (!page) this.pages.set(index, (page = new LedgerPage(index)));
+    return page;
+  }
+
+  /** `at`: where the store has it. */
+  add(job: JobState, index: number, tasks: number, at?: LedgerPage): Chunk {
+    const bytes = entryBytes(tasks);
+    const page = at ?? this.withRoom(bytes);
+    const chunk: Chunk = { job, index, page, bytes, entry: undefined };
+    page.chunks.add(chunk);
+    page.bytes += bytes;
+    return chunk;
+  }
+
+  private withRoom(bytes: number): LedgerPage {
+    for (const page of this.pages.values()) if (page.bytes + bytes <= this.valueBytes) return page;
+    let index = 0;
+    while (this.pages.has(index)) index++;
+    return this.page(index);
+  }
+}
+
+/**
+ * The page as it should stand in the store, with the tasks that its commit would turn from placing to placed. A commit
+ * can be conditioned on so many jobs only: tasks of further ones are taken off, to be placed again.
+ */
+export function snapshot(page: LedgerPage, mostJobs: number, takeOff: (task: Task) => void): PageSnapshot {
+  const shot: PageSnapshot = { entries: [], placing: [], done: [] };
+  const jobs = new Set<JobState>();
+  for (const chunk of page.chunks) {
+    const { job } = chunk;
+    if (!chunk.entry) {
+      const placing = [...job.tasksOf(chunk.index)].filter((task) => task.phase === 'placing');
+      if (placing.length > 0 && !jobs.has(job) && jobs.size >= mostJobs) {
+        for (const task of placing.splice(0)) takeOff(task);
+      }
+      if (placing.length > 0) jobs.add(job);
+      shot.placing.push(...placing);
+      const { entry, done } = job.entryOf(chunk.index);
+      chunk.entry = entry;
+      if (done.length > 0) shot.done.push({ job, indices: done });
+    }
+    shot.entries.push(chunk.entry);
+  }
+  return shot;
+}
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -71,20 +71,31 @@
   return spec.acceptedAt + (dueS - spec.estimateS) * 1000;
 }
 
+interface Room {
+  machine: MachineState;
+  free: Resources;
+}
+
 /** First-fit: each waiting task, in the order of work, goes to the first machine that has room for it. */
 export function plan(facts: PlanFacts): Choice[] {
   const choices: Choice[] = [];
+  const waiting = [...facts.jobs]
+    .filter(
+      (job) => job.waiting > 0 && !job.ending && job.retryAt <= facts.now && job.version !== job.rejected,
+    )
+    .map((job) => ({ job, spec: job.spec }))
+    .filter((entry): entry is { job: JobState; spec: JobSpec } => entry.spec !== undefined);
+  // Most rounds have nothing to place, and there is one for nearly every report.
+  if (waiting.length === 0) return choices;
+  waiting.sort((a, b) => byOrderOfWork(a.spec, b.spec));
+  const least = leastOf(waiting.map(({ job }) => job.need));
   const rooms = [...facts.machines]
     .filter(facts.usable)
     .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
     .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined)
     .map((m) => ({ ...m, free: m.machine.free(m.type) }))
+    .filter(({ free }) => fits(least, free))
     .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
-  const waiting = [...facts.jobs]
-    .filter((job) => job.waiting > 0 && !job.ending && job.retryAt <= facts.now)
-    .map((job) => ({ job, spec: job.spec }))
-    .filter((entry): entry is { job: JobState; spec: JobSpec } => entry.spec !== undefined)
-    .sort((a, b) => byOrderOfWork(a.spec, b.spec));
   for (const { job, spec } of waiting) {
     const team = facts.team(job.team);
     const zones = zonesInUse(job, facts.machines);
@@ -99,17 +110,19 @@
     const cheap = spec.spot ? candidates.filter(({ machine }) => machine.place.spot) : [];
     if (cheap.length > 0) candidates = cheap;
     // A machine that has the image starts the task at once.
-    candidates.sort(
-      (a, b) => Number(b.machine.images.has(spec.image)) - Number(a.machine.images.has(spec.image)),
-    );
+    const warm = candidates.filter(({ machine }) => machine.images.has(spec.image));
+    const cold = candidates.filter(({ machine }) => !machine.images.has(spec.image));
+    candidates = [...warm, ...cold];
     let left = job.waiting;
+    let at = 0;
     while (left > 0 && choices.length < facts.most && facts.usage.admits(team, job.need)) {
-      const room = candidates.find(
-        ({ machine, free }) =>
-          fits(job.need, free) &&
-          (!spec.spread || (zones.get(machine.place.zone) ?? 0) < half) &&
-          (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone)),
-      );
+      const suits = ({ machine, free }: Room): boolean =>
+        fits(job.need, free) &&
+        (!spec.spread || (zones.get(machine.place.zone) ?? 0) < half) &&
+        (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone));
+      // What does not suit one task of the job does not suit its next: nothing frees up within a round.
+      while (at < candidates.length && !suits(candidates[at] as Room)) at++;
+      const room = candidates[at];
       const task = room && job.next();
       if (!room || !task) break;
       job.place(task, room.machine.id, facts.now);
@@ -126,6 +139,15 @@
   return choices;
 }
 
+/** What has no room for this has none for any of them. */
+function leastOf(needs: Resources[]): Resources {
+  return {
+    cpus: Math.min(...needs.map((need) => need.cpus)),
+    accelerators: Math.min(...needs.map((need) => need.accelerators)),
+    memoryGb: Math.min(...needs.map((need) => need.memoryGb)),
+  };
+}
+
 /** Active tasks of the job by zone. */
 function zonesInUse(job: JobState, machines: Iterable<MachineState>): Map<string, number> {
   const zones = new Map<string, number>();
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -5,12 +5,13 @@
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import { blockKey, endKey, endRecord, jobKey, runKey } from '../wire/records.js';
+import { blockKey, endKey, endRecord, jobKey, ledgerKey, ledgerPage } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../workers/machine-state.js';
 import type { Board } from './board.js';
 import type { Census } from './census.js';
-import type { JobState, PageState } from './job-state.js';
+import type { JobState, Task } from './job-state.js';
+import { type LedgerPage, type PageSnapshot, snapshot } from './ledger.js';
 import { plan } from './plan.js';
 
 export interface SchedulerPorts {
@@ -28,14 +29,24 @@
 
 const tickMs = 100;
 /** Placements of one round, as a multiple of the writes that fit a transaction. */
-const roundTransactions = 4;
+const roundTransactions = 8;
+/** A controller's even share of the changes of so long is what gathering completions may cost at most. */
+const gatherChanges = 4;
+/** Jobs that one commit of a page places tasks of, likewise: half of the conditions that a transaction can hold. */
+const jobsPerCommit = 2;
 
 /** Places waiting tasks and keeps the store in step with the board, intents first. */
 export class Scheduler {
   private wanted = true;
   private rejectedVersion = -1;
+  /** How long completions are gathered before a page is written for their sake alone. */
+  private readonly gatherMs: number;
 
-  constructor(private readonly ports: SchedulerPorts) {}
+  constructor(private readonly ports: SchedulerPorts) {
+    const { reportMs, controllers, state } = ports.settings;
+    // Where the store takes few changes, pages written for completions must not keep intents waiting.
+    this.gatherMs = Math.max(reportMs / 8, (gatherChanges * controllers * 1000) / state.writeRps);
+  }
 
   /** Something changed that may let a task start. */
   poke(): void {
@@ -49,6 +60,24 @@
     this.persist();
   }
 
+  /** Settles once it is known which of the tasks that are being placed may start, or when the time is up. */
+  async decided(tasks: () => Iterable<Task>, withinMs: number): Promise<void> {
+    const { clock } = this.ports;
+    const until = clock() + withinMs;
+    const pages = (): Set<LedgerPage> => {
+      const placing = [...tasks()].filter((task) => task.phase === 'placing');
+      return new Set(placing.flatMap((task) => task.job.pageOf(task.index) ?? []));
+    };
+    const waited = new AbortController();
+    const timeUp = sleep(withinMs, waited.signal);
+    for (let open = pages(); open.size > 0 && clock() < until; open = pages()) {
+      // A page that cannot be committed now, since the store knows the block differently, takes longer than we wait.
+      const commits = [...open].filter((page) => page.busy).map((page) => page.commit);
+      await (commits.length > 0 ? Promise.race([timeUp, Promise.all(commits)]) : timeUp);
+    }
+    waited.abort();
+  }
+
   /** A machine that tasks may be placed on. */
   usable(machine: MachineState): boolean {
     const { clock, settings } = this.ports;
@@ -73,6 +102,7 @@
         this.wanted = false;
         this.place();
       }
+      this.endJobs();
       this.persist();
     }
   }
@@ -96,29 +126,27 @@
   }
 
   private persist(): void {
-    const { board, commits } = this.ports;
+    const { board, commits, clock } = this.ports;
     // The store knows the block under another version; nothing can be committed until the watch brings it.
     if (board.version === this.rejectedVersion) return;
-    for (const job of board.jobs.values()) {
+    for (const page of board.ledger.pages.values()) {
       if (commits.full) return;
-      if (job.ending || [...job.pages.values()].some((p) => p.busy)) continue;
-      if (job.ended) {
-        if (job.active === 0) void this.dropPages(job);
-      } else if (job.complete && this.othersComplete(job)) void this.commitDone(job);
-      else this.persistPages(job);
+      const due = page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > this.gatherMs);
+      if (due && !page.busy) page.commit = this.commitPage(page);
     }
   }
 
-  /**
-   * Completions are gathered for a moment only: until they are committed, the leader takes their machines for full and
-   * deals nothing to them.
-   */
-  private persistPages(job: JobState): void {
-    const { clock, settings, commits } = this.ports;
-    for (const [index, page] of job.pages) {
-      const due =
-        page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > settings.reportMs / 8);
-      if (due && !commits.full) void this.commitPage(job, index, page);
+  private endJobs(): void {
+    const { board, commits, clock } = this.ports;
+    if (board.version === this.rejectedVersion) return;
+    for (const job of board.jobs.values()) {
+      if (commits.full) return;
+      if (job.ending) continue;
+      if (job.ended) {
+        if (job.active > 0) continue;
+        job.leaveLedger(clock());
+        board.jobs.delete(job.id);
+      } else if (job.complete && this.othersComplete(job)) void this.commitDone(job);
     }
   }
 
@@ -135,77 +163,71 @@
   }
 
   /** Intent before action: only what this commit has confirmed may be sent to a machine. */
-  private async commitPage(job: JobState, index: number, state: PageState): Promise<void> {
-    const { board, commits, clock } = this.ports;
+  private async commitPage(page: LedgerPage): Promise<void> {
+    const { board, commits, settings } = this.ports;
     const { block } = this;
-    const { page, placing, done } = job.snapshot(index);
-    const key = runKey(job.id, job.block, index);
-    state.busy = true;
-    state.dirt = 'clean';
-    // The job's record goes with its end, so its version says that the job is open, and placed as we know it.
+    const key = ledgerKey(board.block, page.index);
+    page.busy = true;
+    page.dirt = 'clean';
+    const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => board.takeOff(task));
+    // A job's record goes with its end, so its version says that the job is open, and placed as we know it.
+    const jobs = new Map(shot.placing.map((task) => [jobKey(task.job.id), task.job]));
     const outcome = await commits.commit(
-      [block, { key, version: state.version }, { key: jobKey(job.id), version: job.version }],
-      [{ put: key, value: page }],
+      [
+        block,
+        { key, version: page.version },
+        ...[...jobs].map(([k, job]) => ({ key: k, version: job.version })),
+      ],
+      [{ put: key, value: ledgerPage(shot.entries) }],
     );
-    state.busy = false;
+    page.busy = false;
     if (outcome.kind === 'applied') {
-      state.version = outcome.revision;
-      for (const task of placing) if (task.phase === 'placing') task.phase = 'placed';
-      job.commitDone(done);
-      return;
-    }
-    job.soilPage(index, 'now', clock());
-    if (outcome.kind === 'conflict' && outcome.failed.includes(jobKey(job.id))) {
-      // Ended, or placed anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
-      for (const task of placing) if (task.phase === 'placing') board.takeOff(task);
-      job.retryAt = clock() + this.ports.settings.reportMs / 2;
-      return;
+      page.version = outcome.revision;
+      for (const task of shot.placing) if (task.phase === 'placing') task.phase = 'placed';
+      for (const { job, indices } of shot.done) job.commitDone(indices);
+    } else await this.recover(page, shot, outcome, { block, key, jobs });
+    // What became dirty meanwhile goes at once.
+    if (!this.ports.signal.aborted && !this.ports.store.failing) this.persist();
+  }
+
+  private async recover(
+    page: LedgerPage,
+    shot: PageSnapshot,
+    outcome: CommitOutcome,
+    at: { block: Condition; key: string; jobs: ReadonlyMap<string, JobState> },
+  ): Promise<void> {
+    const { board, clock } = this.ports;
+    for (const chunk of page.chunks) chunk.entry = undefined;
+    page.soil(shot.placing.length > 0 ? 'now' : 'soon', clock());
+    if (outcome.kind === 'conflict') {
+      for (const task of shot.placing) {
+        // Ended, or dealt anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
+        if (!outcome.failed.includes(jobKey(task.job.id))) continue;
+        task.job.rejected = task.job.version;
+        if (task.phase === 'placing') board.takeOff(task);
+      }
     }
-    await this.settle(outcome, block, key, state);
+    await this.settle(outcome, at.block, at.key, page);
   }
 
   private async commitDone(job: JobState): Promise<void> {
-    const { commits, board, settings, signal, clock } = this.ports;
+    const { commits, board, settings, signal } = this.ports;
     const { block } = this;
     job.ending = true;
-    const drops = [...job.pages.keys()].slice(0, settings.state.txnOps - 2);
     const outcome = await commits.commit(
       [block, { key: endKey(job.id), version: 0 }, { key: jobKey(job.id), version: job.version }],
       [
         { put: endKey(job.id), value: endRecord('done', job.spec?.tasks ?? job.doneCount) },
         { drop: jobKey(job.id) },
-        ...drops.map((page) => ({ drop: runKey(job.id, job.block, page) })),
       ],
     );
-    if (outcome.kind === 'applied') {
-      board.endJob(job, 'done');
-      for (const page of drops) job.pages.delete(page);
-    } else {
+    if (outcome.kind === 'applied') board.endJob(job, 'done');
+    else {
       this.checkBlock(outcome, block);
       // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
       if (outcome.kind !== 'refused') await sleep(settings.reportMs / 4, signal);
-      job.retryAt = clock();
-    }
-    job.ending = false;
-  }
-
-  /** An ended job with no task on any machine needs no record of its run. */
-  private async dropPages(job: JobState): Promise<void> {
-    const { board, commits, settings } = this.ports;
-    const { block } = this;
-    const drops = [...job.pages.keys()].slice(0, settings.state.txnOps);
-    if (drops.length === 0) {
-      board.jobs.delete(job.id);
-      return;
     }
-    job.ending = true;
-    const outcome = await commits.commit(
-      [block],
-      drops.map((page) => ({ drop: runKey(job.id, job.block, page) })),
-    );
     job.ending = false;
-    if (outcome.kind === 'applied') for (const page of drops) job.pages.delete(page);
-    else this.checkBlock(outcome, block);
   }
 
   private checkBlock(outcome: CommitOutcome, block: Condition): void {
@@ -222,19 +244,26 @@
     outcome: CommitOutcome,
     block: Condition,
     key: string,
-    state: PageState,
+    page: LedgerPage,
   ): Promise<void> {
-    const { store, signal, log } = this.ports;
+    const { store, signal, log, settings } = this.ports;
     this.checkBlock(outcome, block);
     if (signal.aborted || outcome.kind === 'refused') return;
+    if (outcome.kind === 'malformed') {
+      log.error({ event: 'page-refused', key }, 'the state service calls a page malformed');
+      page.busy = true;
+      await sleep(settings.reportMs, signal);
+      page.busy = false;
+      return;
+    }
     if (outcome.kind === 'conflict' && !outcome.failed.includes(key)) return;
-    state.busy = true;
+    page.busy = true;
     try {
-      state.version = (await store.read(key))?.version ?? 0;
+      page.version = (await store.read(key))?.version ?? 0;
     } catch (error) {
       log.debug({ event: 'page-read-failed', key, err: error }, 'page not read');
     } finally {
-      state.busy = false;
+      page.busy = false;
     }
   }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -28,7 +28,8 @@
 export type CommitOutcome =
   | { kind: 'applied'; revision: number }
   | { kind: 'conflict'; failed: string[]; revision: number }
-  | { kind: 'no-lease' }
+  /** Refused for its form or size, or for a lease that has ended: repeating it as it is helps nothing. */
+  | { kind: 'malformed' }
   /** `busy`: over the limits, so worth a repetition in a moment. */
   | { kind: 'refused'; busy: boolean }
   | { kind: 'unknown' };
@@ -42,10 +43,13 @@
 
 /** Shares of the limits, which hold for all controllers together; the whole stays below them. */
 const shares = {
-  requests: { intakeAll: 0.35, leaderDuty: 0.23, followersDuty: 0.34 },
-  writes: { intakeAll: 0.28, leaderDuty: 0.26, followersDuty: 0.38 },
+  requests: { intakeAll: 0.3, leaderDuty: 0.2, followersDuty: 0.25 },
+  writes: { intakeAll: 0.2, leaderDuty: 0.25, followersDuty: 0.48 },
 };
+/** What watches take of the requests: each that returns with changes is followed by another. */
+const watchShare = 0.2;
 const burstShare = 0.5;
+const leastWatchGapMs = 200;
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
 const listPage = 500;
@@ -55,6 +59,7 @@
   private readonly watchPeer: HttpPeer;
   private readonly requests: Record<Lane, Pacer>;
   private readonly writes: Record<Lane, Pacer>;
+  private role = { leading: false, sharing: 0 };
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -72,15 +77,18 @@
     this.requests = pacers();
     this.writes = pacers();
     this.contactAt = clock() - settings.cancelMs;
-    this.setLeading(false);
+    this.setRole(false, settings.controllers);
   }
 
-  /** Each controller keeps to a share that depends on its role. */
-  setLeading(leading: boolean): void {
-    const { controllers, state } = this.settings;
-    const followers = Math.max(1, controllers - 1);
+  /** A controller's share depends on its role and on how many there are to share with. */
+  setRole(leading: boolean, alive: number): void {
+    const { state, controllers } = this.settings;
+    const sharing = Math.min(controllers, Math.max(1, alive));
+    if (this.role.leading === leading && this.role.sharing === sharing) return;
+    this.role = { leading, sharing };
+    const followers = Math.max(1, sharing - 1);
     const set = (pacers: Record<Lane, Pacer>, rate: number, share: (typeof shares)['writes']): void => {
-      const intake = (rate * share.intakeAll) / controllers;
+      const intake = (rate * share.intakeAll) / sharing;
       const duty = rate * (leading ? share.leaderDuty : share.followersDuty / followers);
       pacers.intake.setRate(intake, Math.max(1, rate * burstShare));
       // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
@@ -90,6 +98,12 @@
     set(this.writes, state.writeRps, shares.writes);
   }
 
+  /** The pause between two watches that keeps all controllers' watches within their share. */
+  get watchGapMs(): number {
+    const { state, controllers } = this.settings;
+    return Math.max(leastWatchGapMs, (controllers * 1000) / (state.rps * watchShare));
+  }
+
   /** When the last request that was served had been sent; what was true then is all that we know. */
   get lastContact(): number {
     return this.contactAt;
@@ -130,7 +144,6 @@
 
   /** Waits for changes; undefined where the service no longer has them and the keys must be read again. */
   async watch(since: number): Promise<{ changes: Change[]; revision: number } | undefined> {
-    await sleep(this.requests.duty.reserve(1), this.signal);
     const answer = await this.watchPeer.exchange('GET', watchPath(since, watchHoldMs), undefined, {
       timeoutMs: watchHoldMs * 2,
       signal: this.signal,
@@ -150,7 +163,7 @@
     }
     if (answer.status === 200) return { kind: 'applied', revision: parseCommit(answer.body).revision };
     if (answer.status === 409) return { kind: 'conflict', ...parseCommit(answer.body) };
-    if (answer.status === 400) return { kind: 'no-lease' };
+    if (answer.status === 400) return { kind: 'malformed' };
     if (answer.status === 429 || answer.status === 503)
       return { kind: 'refused', busy: answer.status === 429 };
     return { kind: 'unknown' };
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -17,7 +17,8 @@
 
 /** A copy of the store's keys that lags a little behind it. Nothing a user is told rests on it alone. */
 export class Mirror {
-  private entries = new Map<string, Entry>();
+  /** By the first part of the key, so that a duty finds its own without walking all. */
+  private entries = new Map<string, Map<string, Entry>>();
   private ends = new Map<string, Entry>();
   private at = 0;
   private loaded = false;
@@ -39,11 +40,13 @@
 
   /** Keys in the copy, ends not counted. */
   get size(): number {
-    return this.entries.size;
+    let size = 0;
+    for (const entries of this.entries.values()) size += entries.size;
+    return size;
   }
 
   get(key: string): Entry | undefined {
-    return key.startsWith('end/') ? this.ends.get(key) : this.entries.get(key);
+    return key.startsWith('end/') ? this.ends.get(key) : this.entries.get(rootOf(key))?.get(key);
   }
 
   version(key: string): number {
@@ -51,7 +54,7 @@
   }
 
   *below(prefix: string): Iterable<[string, Entry]> {
-    for (const pair of this.entries) if (pair[0].startsWith(prefix)) yield pair;
+    for (const pair of this.entries.get(rootOf(prefix)) ?? []) if (pair[0].startsWith(prefix)) yield pair;
   }
 
   /** What we learned of an end other than by the watch; ends never change, so it may be kept. */
@@ -84,18 +87,18 @@
   }
 
   private async load(): Promise<void> {
-    const entries = new Map<string, Entry>();
+    const entries = new Map<string, Map<string, Entry>>();
     let since = Infinity;
     for (const prefix of listedPrefixes) {
       const { items, revision } = await this.client.list(prefix);
       since = Math.min(since, revision);
-      for (const item of items) entries.set(item.key, { value: item.value, version: item.version });
+      for (const { key, value, version } of items) put(entries, key, { value, version });
     }
     const before = this.entries;
     this.entries = entries;
     this.at = since;
     this.loaded = true;
-    this.notify(differences(before, entries));
+    this.notify(differences(flat(before), flat(entries)));
   }
 
   private async *changes(signal: AbortSignal): AsyncGenerator<{ changes: Change[]; revision: number }> {
@@ -117,8 +120,8 @@
       const entry = { value: change.value, version: change.version };
       if (change.key.startsWith('end/')) {
         if (!change.deleted) this.learnEnd(change.key, entry);
-      } else if (change.deleted) this.entries.delete(change.key);
-      else this.entries.set(change.key, entry);
+      } else if (change.deleted) this.entries.get(rootOf(change.key))?.delete(change.key);
+      else put(this.entries, change.key, entry);
     }
     this.at = Math.max(this.at, revision);
     this.notify(fresh);
@@ -130,6 +133,22 @@
   }
 }
 
+function rootOf(key: string): string {
+  const slash = key.indexOf('/');
+  return slash < 0 ? key : key.slice(0, slash);
+}
+
+function put(entries: Map<string, Map<string, Entry>>, key: string, entry: Entry): void {
+  const root = rootOf(key);
+  const below = entries.get(root);
+  if (below) below.set(key, entry);
+  else entries.set(root, new Map([[key, entry]]));
+}
+
+function flat(entries: Map<string, Map<string, Entry>>): Map<string, Entry> {
+  return new Map([...entries.values()].flatMap((below) => [...below]));
+}
+
 function differences(before: Map<string, Entry>, after: Map<string, Entry>): Change[] {
   const changes: Change[] = [];
   for (const [key, entry] of after) {
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -9,12 +9,13 @@
 export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
 export const endKey = (id: string): string => `end/${id}`;
-export const runKey = (id: string, block: number, page: number): string => `run/${id}/${block}/${page}`;
+export const ledgerPrefix = (block: number): string => `run/${block}/`;
+export const ledgerKey = (block: number, page: number): string => `${ledgerPrefix(block)}${page}`;
 
-export function parseRunKey(key: string): { id: string; block: number; page: number } | undefined {
-  const [root, id, block, page] = key.split('/');
-  if (root !== 'run' || id === undefined || page === undefined) return undefined;
-  return { id, block: Number(block), page: Number(page) };
+export function parseLedgerKey(key: string): { block: number; page: number } | undefined {
+  const [root, block, page] = key.split('/');
+  if (root !== 'run' || block === undefined || page === undefined) return undefined;
+  return { block: Number(block), page: Number(page) };
 }
 
 export interface LeadRecord {
@@ -57,6 +58,22 @@
   shares: Shares;
 }
 
+/**
+ * Machines are grouped by kind, with the names left once and times of day in seconds: a block with all machines of a
+ * deployment must stay a value of the store.
+ */
+export function blockRecord(record: BlockRecord): unknown {
+  const groups = new Map<string, unknown[]>();
+  for (const m of record.machines) {
+    const key = `${m.type}/${m.zone}/${m.spot}`;
+    let group = groups.get(key);
+    if (!group) groups.set(key, (group = [m.type, m.zone, m.spot, []]));
+    (group[3] as unknown[]).push([m.id, m.token, Math.round(m.since / 1000), ...(m.leaving ? [1] : [])]);
+  }
+  const { owner, boot, shares } = record;
+  return { owner, boot, shares, machines: [...groups.values()] };
+}
+
 /** In the store, a token of 0 stands for the revision of the record itself: nobody knows it before the commit. */
 export const tokenOfThisCommit = 0;
 
@@ -73,17 +90,18 @@
     owner: text(value['owner']),
     boot: text(value['boot']),
     shares,
-    machines: list(value['machines'])
-      .filter(isFields)
-      .map((m) => ({
-        id: text(m['id']),
-        token: number(m['token']) === tokenOfThisCommit ? version : number(m['token']),
-        type: text(m['type']),
-        zone: text(m['zone']),
-        spot: m['spot'] === true,
-        leaving: m['leaving'] === true,
-        since: number(m['since']),
-      })),
+    machines: list(value['machines']).flatMap((group) => {
+      const [type, zone, spot, machines] = list(group);
+      return list(machines).map((machine) => {
+        const [id, token, since, leaving] = list(machine);
+        return {
+          id: text(id),
+          token: number(token) === tokenOfThisCommit ? version : number(token),
+          ...{ type: text(type), zone: text(zone), spot: spot === true },
+          ...{ leaving: leaving === 1, since: number(since) * 1000 },
+        };
+      });
+    }),
   };
 }
 
@@ -139,9 +157,13 @@
   };
 }
 
-/** One page of a job's tasks. What is in none of the lists has never been started. */
-export interface RunPage {
-  block: number;
+/**
+ * What a block has of a job's tasks, or of so many of them as one entry takes: a chunk of consecutive numbers. What is
+ * in none of its lists has never been started.
+ */
+export interface LedgerEntry {
+  id: string;
+  chunk: number;
   /** Team and resources, so that tasks still on machines count after the job record has gone. */
   team: string;
   cpus: number;
@@ -155,31 +177,42 @@
   done: number[];
 }
 
-export function parseRunPage(value: unknown): RunPage | undefined {
-  if (!isFields(value)) return undefined;
-  return {
-    block: number(value['block']),
-    team: text(value['team']),
-    cpus: number(value['cpus']),
-    accelerators: number(value['accelerators']),
-    memoryGb: number(value['memoryGb']),
-    active: list(value['active']).map((entry) => {
-      const [index, attempt, machine] = list(entry);
-      return [number(index), number(attempt), text(machine)];
-    }),
-    waiting: list(value['waiting']).map((entry) => {
-      const [index, attempt] = list(entry);
-      return [number(index), number(attempt)];
-    }),
-    done: list(value['done']).map((n) => number(n)),
-  };
+/** A page of a block's ledger holds entries of many jobs, so that one change of the store records a whole round. */
+export function ledgerPage(entries: LedgerEntry[]): unknown {
+  return entries.map((e) => [
+    ...[e.id, e.chunk, e.team, e.cpus, e.accelerators, e.memoryGb],
+    ...[e.active, e.waiting, e.done],
+  ]);
 }
 
-/** Worst case of one task in a page, in the JSON form that limits are measured in. */
-const bytesPerTask = 48;
+/** Every controller reads every page of all the others, so the lists are taken as they come: we alone write them. */
+export function parseLedgerPage(value: unknown): LedgerEntry[] {
+  return list(value)
+    .map((entry) => {
+      const [id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done] = list(entry);
+      return {
+        ...{ id: text(id), chunk: number(chunk), team: text(team) },
+        ...{ cpus: number(cpus), accelerators: number(accelerators), memoryGb: number(memoryGb) },
+        active: list(active) as LedgerEntry['active'],
+        waiting: list(waiting) as LedgerEntry['waiting'],
+        done: list(done) as number[],
+      };
+    })
+    .filter((entry) => entry.id !== '');
+}
+
+/** Worst case of one task, and of an entry without its tasks, in the JSON form that limits are measured in. */
+const bytesPerTask = 40;
+const bytesPerEntry = 160;
+/** An entry takes this part of a page at most, so that pages fill well. */
+const chunkShare = 1 / 4;
+
+export function tasksPerChunk(valueBytes: number): number {
+  return Math.max(1, Math.floor((valueBytes * chunkShare - bytesPerEntry) / bytesPerTask));
+}
 
-export function tasksPerPage(valueBytes: number): number {
-  return Math.max(1, Math.floor((valueBytes - 512) / bytesPerTask));
+export function entryBytes(tasks: number): number {
+  return bytesPerEntry + tasks * bytesPerTask;
 }
 
 export function toRanges(sorted: Iterable<number>): number[] {
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,4 +1,4 @@
-import { type Clock, sleep } from '../base/clock.js';
+import type { Clock } from '../base/clock.js';
 import type { Reply, Route } from '../base/web.js';
 import type { Registry } from '../blocks/registry.js';
 import type { Tenancy } from '../blocks/tenancy.js';
@@ -17,12 +17,13 @@
   storeFailing: () => boolean;
   answering: () => AnsweringFacts;
   grantTtlMs: number;
+  reportMs: number;
   /** How long an answer may wait for the commit of what it is to start. */
   settleMs: number;
 }
 
-const pollMs = 5;
-const never = new AbortController().signal;
+/** Finished tasks are left in a worker's reports for so many report intervals if nothing else is to be said. */
+const tidyReports = 2;
 
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
 export class WorkerDesk {
@@ -51,15 +52,28 @@
     if (result.verdict === 'outranked') return { status: 421, body: redirectAnswer(undefined) };
     if (result.verdict !== 'reconciled')
       return { status: 200, body: reportAnswer(machine.token, result.orders) };
+    const now = facts.now;
     const { token, seq } = machine;
     const starts = await this.startsFor(board, machine);
     // Whatever came in between, a start goes out only under the token that its intent was committed with.
     const valid =
       machine.token === token && machine.seq === seq && machine.releasing === '' && !storeFailing();
-    return {
-      status: 200,
-      body: reportAnswer(token, valid ? [...result.orders, ...starts()] : result.orders),
-    };
+    const orders = valid ? [...result.orders, ...starts()] : result.orders;
+    return { status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) };
+  }
+
+  /**
+   * What a worker forgets is a change of its tasks, and every change makes it report again. So mere tidying waits for
+   * other orders to go with, for two reports at the most.
+   */
+  private gather(machine: MachineState, orders: Order[], now: number): Order[] {
+    const { reportMs } = this.ports;
+    if (orders.length === 0) return orders;
+    const tidying = orders.every((order) => order.kind === 'forget');
+    if (tidying && now - machine.tidiedAt < reportMs * tidyReports) return [];
+    machine.tidiedAt = now;
+    // A worker carries orders out in turn, and an earlier attempt must be out of the way before the next one starts.
+    return [...orders.filter((o) => o.kind === 'forget'), ...orders.filter((o) => o.kind !== 'forget')];
   }
 
   /**
@@ -67,12 +81,10 @@
    * few milliseconds as a rule: otherwise the room would stay empty until the next report.
    */
   private async startsFor(board: Board, machine: MachineState): Promise<() => Order[]> {
-    const { tenancy, clock, settleMs } = this.ports;
+    const { tenancy, settleMs } = this.ports;
     const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
     tenancy.placeNow(board);
-    const until = clock() + settleMs;
-    const placing = (): boolean => [...machine.tasks.values()].some((task) => task.phase === 'placing');
-    while (placing() && clock() < until) await sleep(pollMs, never);
+    await tenancy.decided(board, () => machine.tasks.values(), settleMs);
     return () =>
       [...machine.tasks.values()]
         .filter((task) => task.phase === 'placed' && !before.has(task) && !task.job.ended)
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -31,6 +31,8 @@
   /** The last sign of life, or when we began to expect one. */
   lastSeen: number;
   readonly leasedAt: number;
+  /** When its worker was last told to forget anything. */
+  tidiedAt = 0;
   /** Tasks that are on it, or that it may have been told to start, or that are about to be placed on it. */
   readonly tasks = new Map<string, Task>();
   /** Reported tasks that it should not have, until they are gone: they still take room. */
