Let go of machines that report but do not hear; timers without aborts

A machine whose reports arrive while answers do not reach it took tasks and started none. Its oldest order that no report shows, or our token that none carries, now counts as deafness after three report intervals.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -15,3 +15,12 @@
     // The only way this rejects is the abort that the caller checks for.
   }
 }
+
+/** A deadline that others may wait for together with something else; `cancel` ends it without anybody's notice. */
+export function timer(ms: number): { over: Promise<void>; cancel: () => void } {
+  let handle: NodeJS.Timeout | undefined;
+  const over = new Promise<void>((resolve) => {
+    handle = setTimeout(resolve, ms);
+  });
+  return { over, cancel: () => clearTimeout(handle) };
+}
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -16,6 +16,8 @@
   phase: Phase;
   machine: string;
   running: boolean;
+  /** When its machine was first told to start it. */
+  orderedAt: number | undefined;
 }
 
 export interface JobFacts {
@@ -258,7 +260,15 @@
   private touch(index: number, attempt: number): Task {
     let task = this.tasks.get(index);
     if (!task) {
-      task = { job: this, index, attempt, phase: 'waiting', machine: '', running: false };
+      task = {
+        job: this,
+        index,
+        attempt,
+        phase: 'waiting',
+        machine: '',
+        running: false,
+        orderedAt: undefined,
+      };
       this.tasks.set(index, task);
     }
     return task;
@@ -268,5 +278,6 @@
     if (task.phase === 'waiting') this.activeCount++;
     task.phase = phase;
     task.machine = machine;
+    task.orderedAt = undefined;
   }
 }
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../base/clock.js';
-import { sleep } from '../base/clock.js';
+import { sleep, timer } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { MachineType } from '../model/types.js';
 import type { Settings } from '../settings/settings.js';
@@ -68,14 +68,15 @@
       const placing = [...tasks()].filter((task) => task.phase === 'placing');
       return new Set(placing.flatMap((task) => task.job.pageOf(task.index) ?? []));
     };
-    const waited = new AbortController();
-    const timeUp = sleep(withinMs, waited.signal);
-    for (let open = pages(); open.size > 0 && clock() < until; open = pages()) {
+    let open = pages();
+    if (open.size === 0) return;
+    const timeUp = timer(withinMs);
+    for (; open.size > 0 && clock() < until; open = pages()) {
       // A page that cannot be committed now, since the store knows the block differently, takes longer than we wait.
       const commits = [...open].filter((page) => page.busy).map((page) => page.commit);
-      await (commits.length > 0 ? Promise.race([timeUp, Promise.all(commits)]) : timeUp);
+      await (commits.length > 0 ? Promise.race([timeUp.over, Promise.all(commits)]) : timeUp.over);
     }
-    waited.abort();
+    timeUp.cancel();
   }
 
   /** A machine that tasks may be placed on. */
--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -60,6 +60,10 @@
       if (!machine.seen && machine.tasks.size === 0 && now - machine.leasedAt > patience) {
         machine.releasing = 'never came up';
       }
+      const deafSince = machine.deafSince();
+      if (deafSince !== undefined && now - deafSince > settings.reportMs * operator.workers.silentReports) {
+        machine.releasing = 'deaf';
+      }
       if (machine.faulty && machine.tasks.size === 0 && machine.strays.length === 0)
         machine.releasing = 'faulty';
     }
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -2,7 +2,7 @@
 import type { Reply, Route } from '../base/web.js';
 import type { Registry } from '../blocks/registry.js';
 import type { Tenancy } from '../blocks/tenancy.js';
-import type { Order } from '../model/types.js';
+import { type Order, taskKey } from '../model/types.js';
 import type { Board } from '../placement/board.js';
 import { type AnsweringFacts, answerUntil, peerIsServed } from '../leadership/answering.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
@@ -50,15 +50,21 @@
     const result = board.report(machine, report, !storeFailing());
     // Somebody has leased the machine after us, and the watch has yet to tell us.
     if (result.verdict === 'outranked') return { status: 421, body: redirectAnswer(undefined) };
+    const { now } = facts;
+    if (result.verdict === 'unreconciled') machine.introducedAt ??= now;
     if (result.verdict !== 'reconciled')
       return { status: 200, body: reportAnswer(machine.token, result.orders) };
-    const now = facts.now;
+    machine.introducedAt = undefined;
     const { token, seq } = machine;
     const starts = await this.startsFor(board, machine);
     // Whatever came in between, a start goes out only under the token that its intent was committed with.
     const valid =
       machine.token === token && machine.seq === seq && machine.releasing === '' && !storeFailing();
     const orders = valid ? [...result.orders, ...starts()] : result.orders;
+    for (const order of orders) {
+      const task = order.kind === 'start' ? machine.tasks.get(taskKey(order)) : undefined;
+      if (task) task.orderedAt ??= now;
+    }
     return { status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) };
   }
 
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -18,6 +18,8 @@
   seq = -1;
   /** Its last report carried our token: what it says counts as truth. */
   reconciled = false;
+  /** When we first answered a report that did not carry our token yet; none since a report has carried it. */
+  introducedAt: number | undefined;
   /** It has reported to this owner. */
   seen = false;
   /** To be given back or leased to another: nothing more is placed on it. */
@@ -54,6 +56,19 @@
     if (token === this.token) return;
     this.token = token;
     this.reconciled = false;
+    this.introducedAt = undefined;
+  }
+
+  /**
+   * Since when it has reported without doing what it was told: its reports reach us and our answers do not reach it.
+   * Such a machine would take tasks for ever and start none.
+   */
+  deafSince(): number | undefined {
+    let since = this.reconciled ? undefined : this.introducedAt;
+    for (const { phase, orderedAt } of this.tasks.values()) {
+      if (phase === 'placed' && orderedAt !== undefined) since = Math.min(since ?? orderedAt, orderedAt);
+    }
+    return since;
   }
 
   free(type: MachineType): Resources {
