--- a/src/blocks/rooms.ts
+++ b/src/blocks/rooms.ts
@@ -79,10 +79,11 @@
     this.waitingCpus.set(key, (this.waitingCpus.get(key) ?? 0) + count * spec.cpus);
   }
 
-  /** The one block that has room for the whole job now, or none. */
-  whole(spec: JobSpec): Part[] | undefined {
-    const best = this.of(spec)[0];
-    return best && best.free >= spec.tasks ? [{ block: best.block, first: 0, count: spec.tasks }] : undefined;
+  /** The one block that has room for the whole job now, or none; of several a preferred one, else the roomiest. */
+  whole(spec: JobSpec, prefers: (block: number) => boolean = () => false): Part[] | undefined {
+    const fitting = this.of(spec).filter((room) => room.free >= spec.tasks);
+    const best = fitting.find((room) => prefers(room.block)) ?? fitting[0];
+    return best && [{ block: best.block, first: 0, count: spec.tasks }];
   }
 
   /** All tasks over all blocks by their sizes, whether or not there is room. */
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -58,10 +58,10 @@
     return [...this.tenures.values()].map((tenure) => tenure.board);
   }
 
-  find(machine: string): { board: Board; machine: MachineState } | undefined {
-    for (const { board } of this.tenures.values()) {
+  find(machine: string): { board: Board; scheduler: Scheduler; machine: MachineState } | undefined {
+    for (const { board, scheduler } of this.tenures.values()) {
       const found = board.machines.get(machine);
-      if (found && found.token > 0) return { board, machine: found };
+      if (found && found.token > 0) return { board, scheduler, machine: found };
     }
     return undefined;
   }
@@ -74,6 +74,15 @@
     this.tenures.get(board.block)?.scheduler.placeNow();
   }
 
+  /** There is room on the machine, and it may be used. */
+  hasRoom(machine: MachineState): boolean {
+    const type = this.ports.types().get(machine.place.type);
+    const scheduler = this.find(machine.id)?.scheduler;
+    if (!type || !scheduler?.usable(machine)) return false;
+    const free = machine.free(type);
+    return free.cpus > 0 && free.memoryGb > 0;
+  }
+
   /** Settles once it is known which of these tasks may start, or when the time is up. */
   async decided(board: Board, tasks: () => Iterable<Task>, withinMs: number): Promise<void> {
     await this.tenures.get(board.block)?.scheduler.decided(tasks, withinMs);
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -209,7 +209,9 @@
       this.rooms = new Rooms({ blocks: registry.blocks(), alive, types, census, lookahead: 0 });
       this.roomsAt = this.clock();
     }
-    const parts = this.rooms.whole(spec);
+    // Our own block can start it without waiting for anybody's watch.
+    const ours = new Set(this.tenancy.boards().map((board) => board.block));
+    const parts = this.rooms.whole(spec, (block) => ours.has(block));
     for (const { block, count } of parts ?? []) this.rooms.take(spec, block, count);
     // Without a leader there is nobody to deal: the blocks then share it by their sizes.
     return parts ?? (election.leader === undefined ? this.rooms.bySize(spec) : []);
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -85,14 +85,19 @@
     if (writes.full || this.openJobs() > settings.quota.memoryMb * openJobsPerMb) {
       return { status: 429, body: { error: 'overloaded' }, retryAfterS: retryOverloadS };
     }
+    const key = jobKey(job.id);
+    const value = jobRecord({ spec: job, parts: this.ports.home(job) });
     const outcome = await writes.commit(
       [
-        { key: jobKey(job.id), version: 0 },
+        { key, version: 0 },
         { key: endKey(job.id), version: 0 },
       ],
-      [{ put: jobKey(job.id), value: jobRecord({ spec: job, parts: this.ports.home(job) }) }],
+      [{ put: key, value }],
     );
-    if (outcome.kind === 'applied') return { status: 201, body: jobAnswer(job.id, 'pending') };
+    if (outcome.kind === 'applied') {
+      mirror.learn(key, { value, version: outcome.revision });
+      return { status: 201, body: jobAnswer(job.id, 'pending') };
+    }
     if (outcome.kind === 'conflict') return this.known(job.id);
     return trouble('state service');
   }
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -108,6 +108,7 @@
   endJob(job: JobState, end: 'done' | 'cancelled'): void {
     job.ended ??= end;
     this.withdraw(job);
+    for (const task of job.tasks.values()) this.machines.get(task.machine)?.wake?.();
   }
 
   isGone(machine: string): boolean {
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -109,10 +109,7 @@
     // Work that may use cheap machines leaves ordinary ones to work that may not, as long as there are cheap ones.
     const cheap = spec.spot ? candidates.filter(({ machine }) => machine.place.spot) : [];
     if (cheap.length > 0) candidates = cheap;
-    // A machine that has the image starts the task at once.
-    const warm = candidates.filter(({ machine }) => machine.images.has(spec.image));
-    const cold = candidates.filter(({ machine }) => !machine.images.has(spec.image));
-    candidates = [...warm, ...cold];
+    candidates = quickestFirst(candidates, spec.image);
     let left = job.waiting;
     let at = 0;
     while (left > 0 && choices.length < facts.most && facts.usage.admits(team, job.need)) {
@@ -139,6 +136,16 @@
   return choices;
 }
 
+/** A machine that has the image need not fetch it; one whose answer is held hears of the task at once. */
+function quickestFirst<R extends Room>(rooms: R[], image: string): R[] {
+  const ranked: R[][] = [[], [], [], []];
+  for (const room of rooms) {
+    const { images, wake } = room.machine;
+    ranked[(images.has(image) ? 0 : 2) + (wake ? 0 : 1)]?.push(room);
+  }
+  return ranked.flat();
+}
+
 /** What has no room for this has none for any of them. */
 function leastOf(needs: Resources[]): Resources {
   return {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -184,7 +184,11 @@
     page.busy = false;
     if (outcome.kind === 'applied') {
       page.version = outcome.revision;
-      for (const task of shot.placing) if (task.phase === 'placing') task.phase = 'placed';
+      for (const task of shot.placing) {
+        if (task.phase !== 'placing') continue;
+        task.phase = 'placed';
+        board.machines.get(task.machine)?.wake?.();
+      }
       for (const { job, indices } of shot.done) job.commitDone(indices);
     } else await this.recover(page, shot, outcome, { block, key, jobs });
     // What became dirty meanwhile goes at once.
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -66,6 +66,12 @@
     }
   }
 
+  /** What we have just committed ourselves: it need not wait for the watch to bring it. */
+  learn(key: string, entry: Entry): void {
+    if (this.loaded && entry.version > this.version(key))
+      this.apply([{ key, ...entry, deleted: false }], this.at);
+  }
+
   listen(listener: ChangeListener): () => void {
     this.listeners.add(listener);
     return () => void this.listeners.delete(listener);
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -3,7 +3,7 @@
 import type { Registry } from '../blocks/registry.js';
 import type { Tenancy } from '../blocks/tenancy.js';
 import { type Order, taskKey } from '../model/types.js';
-import type { Board } from '../placement/board.js';
+import type { Task } from '../placement/job-state.js';
 import { type AnsweringFacts, answerUntil, peerIsServed } from '../leadership/answering.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
 import type { MachineState } from './machine-state.js';
@@ -22,6 +22,8 @@
   settleMs: number;
 }
 
+/** How long an answer is held where there is room, in report intervals: well below the 4 s that workers wait. */
+const holdShares = { empty: 0.5, busy: 0.25 };
 /** Finished tasks are left in a worker's reports for so many report intervals if nothing else is to be said. */
 const tidyReports = 2;
 
@@ -36,7 +38,7 @@
   };
 
   async receive(body: unknown): Promise<Reply> {
-    const { tenancy, storeFailing, answering, grantTtlMs } = this.ports;
+    const { tenancy, storeFailing, answering, grantTtlMs, settleMs } = this.ports;
     const report = parseReport(body);
     if (!report) return { status: 400, body: { error: 'not a report' } };
     const found = tenancy.find(report.machine);
@@ -56,11 +58,16 @@
       return { status: 200, body: reportAnswer(machine.token, result.orders) };
     machine.introducedAt = undefined;
     const { token, seq } = machine;
-    const starts = await this.startsFor(board, machine);
+    const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
+    tenancy.placeNow(board);
+    await tenancy.decided(board, () => machine.tasks.values(), settleMs);
+    const quiet = result.orders.every((order) => order.kind === 'forget');
+    const holdMs = this.holdMs(machine);
+    if (quiet && holdMs > 0 && this.news(machine, before).length === 0) await this.hold(machine, holdMs);
     // Whatever came in between, a start goes out only under the token that its intent was committed with.
     const valid =
       machine.token === token && machine.seq === seq && machine.releasing === '' && !storeFailing();
-    const orders = valid ? [...result.orders, ...starts()] : result.orders;
+    const orders = valid ? [...result.orders, ...this.news(machine, before)] : result.orders;
     for (const order of orders) {
       const task = order.kind === 'start' ? machine.tasks.get(taskKey(order)) : undefined;
       if (task) task.orderedAt ??= now;
@@ -68,6 +75,42 @@
     return { status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) };
   }
 
+  /**
+   * A report often says that there is room again. Its answer waits for the commit of what is placed into that room, and
+   * with room left it is held a while longer: what comes meanwhile starts at once instead of with the next report. A
+   * worker with tasks has news of its own soon, so its answer is held for less.
+   */
+  private holdMs(machine: MachineState): number {
+    const { reportMs, tenancy, storeFailing } = this.ports;
+    if (storeFailing() || !tenancy.hasRoom(machine)) return 0;
+    return reportMs * (machine.tasks.size === 0 ? holdShares.empty : holdShares.busy);
+  }
+
+  private async hold(machine: MachineState, ms: number): Promise<void> {
+    // A worker has one report under way at a time, so an answer that is still held is one that nobody waits for.
+    machine.wake?.();
+    await new Promise<void>((resolve) => {
+      const handle = setTimeout(() => machine.wake?.(), ms);
+      machine.wake = (): void => {
+        clearTimeout(handle);
+        machine.wake = undefined;
+        resolve();
+      };
+    });
+  }
+
+  /** What has been committed for the machine since its report came, and what has ended since. */
+  private news(machine: MachineState, before: ReadonlySet<Task>): Order[] {
+    const orders: Order[] = [];
+    for (const task of machine.tasks.values()) {
+      const { index, attempt, phase, job } = task;
+      const ref = { job: job.id, index, attempt };
+      if (phase === 'placed' && !before.has(task) && !job.ended) orders.push({ kind: 'start', ...ref });
+      else if (phase === 'seen' && job.ended) orders.push({ kind: 'stop', ...ref, graceS: 0 });
+    }
+    return orders;
+  }
+
   /**
    * What a worker forgets is a change of its tasks, and every change makes it report again. So mere tidying waits for
    * other orders to go with, for two reports at the most.
@@ -82,21 +125,6 @@
     return [...orders.filter((o) => o.kind === 'forget'), ...orders.filter((o) => o.kind !== 'forget')];
   }
 
-  /**
-   * A report often says that there is room again. Its answer waits for the commit of what is placed into that room, a
-   * few milliseconds as a rule: otherwise the room would stay empty until the next report.
-   */
-  private async startsFor(board: Board, machine: MachineState): Promise<() => Order[]> {
-    const { tenancy, settleMs } = this.ports;
-    const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
-    tenancy.placeNow(board);
-    await tenancy.decided(board, () => machine.tasks.values(), settleMs);
-    return () =>
-      [...machine.tasks.values()]
-        .filter((task) => task.phase === 'placed' && !before.has(task) && !task.job.ended)
-        .map((task) => ({ kind: 'start', job: task.job.id, index: task.index, attempt: task.attempt }));
-  }
-
   private sendOn(machine: string): Reply {
     const { registry, leader, label } = this.ports;
     // A machine in no block has the leader to hear of it; the list will, too.
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -33,6 +33,8 @@
   /** The last sign of life, or when we began to expect one. */
   lastSeen: number;
   readonly leasedAt: number;
+  /** Set while the answer to its report is held: calling it lets the answer go, with whatever there is to say by then. */
+  wake: (() => void) | undefined;
   /** When its worker was last told to forget anything. */
   tidiedAt = 0;
   /** Tasks that are on it, or that it may have been told to start, or that are about to be placed on it. */
