--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -118,13 +118,14 @@
   ...change,
 });
 
-function rooms(census = new Census(() => 0), lookahead = 0): Rooms {
+function rooms(up: (id: string) => boolean = () => true): Rooms {
+  const census = new Census(() => 0);
   const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t]));
   const blocks = new Map([
     [0, block('k0', machine('m1'))],
     [1, block('k1', machine('m2'), machine('m3'))],
   ]);
-  return new Rooms({ blocks, alive: () => true, types, census, lookahead });
+  return new Rooms({ blocks, alive: () => true, types, census, lookahead: 0, up: (m) => up(m.id) });
 }
 
 test('a job goes whole to the roomiest block, and to none where none has room for all of it', () => {
@@ -132,6 +133,17 @@
   assert.equal(rooms().whole(spec('req-1', 9)), undefined);
 });
 
+// Guards against jobs that wait for a machine to boot while another block has room.
+test('a block whose machines are still booting has no room, and one that is preferred is taken if it has', () => {
+  const some = rooms((id) => id === 'm1');
+  assert.deepEqual(some.whole(spec('req-1', 4)), [{ block: 0, first: 0, count: 4 }]);
+  assert.equal(some.whole(spec('req-2', 5)), undefined);
+  assert.deepEqual(
+    rooms().whole(spec('req-3', 4), (b) => b === 0),
+    [{ block: 0, first: 0, count: 4 }],
+  );
+});
+
 test('a job too big for one block is dealt as far as there is room, and what is dealt takes that room', () => {
   const some = rooms();
   assert.deepEqual(some.deal(spec('req-1', 11), []), [
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -12,6 +12,7 @@
 import type { Mirror } from '../store/mirror.js';
 import {
   type BlockRecord,
+  type LeasedMachine,
   type Part,
   type Shares,
   blockKey,
@@ -42,6 +43,7 @@
   boot: string;
   /** See the blocks' rooms. */
   lookahead: number;
+  up: (machine: LeasedMachine) => boolean;
 }
 
 const tickMs = 200;
@@ -218,11 +220,11 @@
 
   /** Deals out what no block has yet, in the order of work. */
   private async dealJobs(): Promise<void> {
-    const { census, registry, types, lookahead, settings } = this.ports;
+    const { census, registry, types, lookahead, settings, up } = this.ports;
     const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
     if (open.length === 0) return;
     const alive = (label: string): boolean => registry.isAlive(label);
-    const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead });
+    const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
     const deals: Promise<void>[] = [];
     for (const job of open.sort((a, b) => byOrderOfWork(a.spec, b.spec))) {
       if (deals.length >= settings.state.txnOps / 2) break;
--- a/src/blocks/rooms.ts
+++ b/src/blocks/rooms.ts
@@ -16,10 +16,14 @@
   alive: (label: string) => boolean;
   types: ReadonlyMap<string, MachineType>;
   census: Census;
+  /** It has come up: tasks can start on it. */
+  up: (machine: LeasedMachine) => boolean;
   /** How much more than fits now a block may hold, as a share of its size, so that it need not wait to be dealt to. */
   lookahead: number;
 }
 
+const none: Resources = { cpus: 0, accelerators: 0, memoryGb: 0 };
+
 /** The blocks' room for jobs at one moment; what is dealt in the meantime is taken off it. */
 export class Rooms {
   private readonly used: ReadonlyMap<string, Resources>;
@@ -50,7 +54,7 @@
   }
 
   private measure(spec: JobSpec): Room[] {
-    const { blocks, alive, types, lookahead } = this.facts;
+    const { blocks, alive, types, lookahead, up } = this.facts;
     const all = [...blocks];
     const served = all.filter(([, record]) => alive(record.owner));
     return (served.length > 0 ? served : all).map(([block, record]) => {
@@ -62,8 +66,9 @@
       for (const machine of cheap.length > 0 ? cheap : machines) {
         const type = types.get(machine.type);
         if (!type) continue;
-        const used = this.used.get(machine.id) ?? { cpus: 0, accelerators: 0, memoryGb: 0 };
         size += tasksIn(spec, type);
+        const used = this.used.get(machine.id) ?? none;
+        if (used === none && !up(machine)) continue;
         free += tasksIn(spec, {
           cpus: type.cpus - used.cpus,
           accelerators: type.accelerators - used.accelerators,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -22,22 +22,25 @@
 import { Census } from './placement/census.js';
 import type { OperatorSettings } from './settings/operator.js';
 import type { Settings } from './settings/settings.js';
-import { StoreClient } from './store/client.js';
+import { type Lane, StoreClient } from './store/client.js';
 import { CommitStage } from './store/commit-stage.js';
 import { Mirror } from './store/mirror.js';
-import { type Part, leadKey } from './wire/records.js';
+import { type LeasedMachine, type Part, leadKey } from './wire/records.js';
 import { WorkerDesk } from './workers/desk.js';
 
 const probeMs = 400;
 const roomsEveryMs = 300;
+/** The protocol's usual boot takes up to so many times the type's figure. */
+const usualBootTimes = 1.5;
+const upKept = 4000;
 const typesEveryMs = 30_000;
 const typesRetryMs = 1000;
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
 const stageTransactions = { duty: 4, writes: 4, confirms: 8 };
 const socketShare = 0.8;
 const idleMs = 120_000;
-/** How long the peers are told of machines proven gone. */
-const goneToldMs = 20_000;
+/** How long the peers are told of machines that have come up, or are proven gone. */
+const toldMs = 20_000;
 
 /** Wires the slices of one controller together. */
 export class Controller {
@@ -57,6 +60,8 @@
   private readonly peers: PeerLinks;
   private readonly intake: Intake;
   private fleet: Fleet | undefined;
+  /** Machines that have reported to their owner. */
+  private readonly up = new Set<string>();
   private rooms: Rooms | undefined;
   private roomsAt = -Infinity;
 
@@ -74,7 +79,7 @@
     const census = new Census(clock);
     const registry = new Registry(mirror);
     const cloud = new CloudClient(settings, clock, signal);
-    const stage = (lane: 'intake' | 'duty', transactions: number): CommitStage =>
+    const stage = (lane: Lane, transactions: number): CommitStage =>
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
     const commits = stage('duty', stageTransactions.duty);
     const types = (): ReadonlyMap<string, MachineType> => this.types;
@@ -105,8 +110,8 @@
       ...shared,
       wallClock: Date.now,
       writes: stage('intake', stageTransactions.writes),
-      confirms: stage('intake', stageTransactions.confirms),
-      isUp: () => this.isUp(),
+      confirms: stage('confirm', stageTransactions.confirms),
+      isUp: () => this.isServing(),
       home: (spec) => this.home(spec),
     });
     this.peers = new PeerLinks({
@@ -115,7 +120,8 @@
         contactAge: store.contactAge(clock()),
         token: this.election.term?.token ?? 0,
         cancelled: this.intake.recentlyCancelled(),
-        gone: this.tenancy.boards().flatMap((board) => board.goneSince(clock() - goneToldMs)),
+        gone: this.tenancy.boards().flatMap((board) => board.goneSince(clock() - toldMs)),
+        up: this.tenancy.boards().flatMap((board) => board.upSince(clock() - toldMs)),
       }),
       onStatus: (status) => this.heed(status),
     });
@@ -191,6 +197,7 @@
       boot,
       periodMs: operator.blocks.periodS * 1000,
       lookahead: operator.blocks.lookahead,
+      up: (machine) => this.isUp(machine),
     });
     this.fleet = fleet;
     try {
@@ -206,7 +213,10 @@
     const alive = (label: string): boolean => registry.isAlive(label);
     // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
     if (!this.rooms || this.clock() - this.roomsAt > roomsEveryMs) {
-      this.rooms = new Rooms({ blocks: registry.blocks(), alive, types, census, lookahead: 0 });
+      this.rooms = new Rooms({
+        ...{ blocks: registry.blocks(), alive, types, census, lookahead: 0 },
+        up: (machine) => this.isUp(machine),
+      });
       this.roomsAt = this.clock();
     }
     // Our own block can start it without waiting for anybody's watch.
@@ -217,7 +227,24 @@
     return parts ?? (election.leader === undefined ? this.rooms.bySize(spec) : []);
   }
 
+  /**
+   * Tasks are dealt only to machines that can start them: while one boots, another block may have room. Up is what any
+   * owner has heard of, and what has had the longest time that booting usually takes.
+   */
+  private isUp(machine: LeasedMachine): boolean {
+    const bootS = this.types.get(machine.type)?.bootS ?? 0;
+    return this.up.has(machine.id) || Date.now() - machine.since > bootS * 1000 * usualBootTimes;
+  }
+
+  private noteUp(machines: Iterable<string>): void {
+    for (const id of machines) this.up.add(id);
+    if (this.up.size <= upKept) return;
+    const leased = this.registry.machines();
+    for (const id of this.up) if (!leased.has(id)) this.up.delete(id);
+  }
+
   private heed(status: PeerStatus): void {
+    this.noteUp(status.up);
     this.fleet?.noteGone(status.gone);
     const { term } = this.election;
     if (term && status.token > term.token) term.end(`${status.from} leads with a higher token`);
@@ -245,7 +272,7 @@
    * A controller that alone has lost the store sends users elsewhere. Where all have lost it there is no better
    * place, and turning unhealthy together would cost users their connections.
    */
-  private isUp(): boolean {
+  private isServing(): boolean {
     if (!this.mirror.ready || this.types.size === 0) return false;
     const limit = this.settings.reportMs;
     if (this.store.contactAge(this.clock()) < limit) return true;
@@ -268,6 +295,7 @@
         await this.store.read(leadKey).catch(() => undefined);
       }
       this.tenancy.follow([]);
+      for (const board of this.tenancy.boards()) this.noteUp(board.upSince(this.clock() - toldMs));
       this.store.setRole(this.election.term !== undefined, this.registry.alive().length);
       await sleep(probeMs, signal);
     }
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -56,6 +56,7 @@
   private readonly surplus = new Surplus();
   private readonly witness: Witness;
   private tunedAt: number;
+  private loggedAt = -Infinity;
   private readonly refusals: Refusals;
   private readonly lastListed = new Map<string, number>();
   private listedAt = -Infinity;
@@ -151,7 +152,7 @@
     );
     countDemand({ census, machines, pools, teams: settings.teams, shape: operator.ladder });
     this.pools = pools;
-    this.logPools();
+    this.logPools(now);
     for (const { pool, outcome } of this.witness.observe(census, pools, machines, now)) {
       this.of(pool).tuner.add(outcome);
     }
@@ -200,9 +201,11 @@
     }
   }
 
-  private logPools(): void {
-    const { log } = this.ports;
-    if (!log.isLevelEnabled('debug')) return;
+  /** For the people on call: what there is and what is asked for, once a period. */
+  private logPools(now: number): void {
+    const { log, operator } = this.ports;
+    const due = now - this.loggedAt >= operator.ladder.periodS * 1000;
+    if (!due && !log.isLevelEnabled('debug')) return;
     const pools = [...this.pools.values()].map((pool) => ({
       pool: pool.key,
       machines: pool.machines.length,
@@ -211,7 +214,8 @@
       waiting: [...pool.waiting].map(([block, slots]) => [block, Math.round(slots)]),
       exhausted: pool.exhausted,
     }));
-    log.debug({ event: 'pools', pools }, 'pools');
+    log[due ? 'info' : 'debug']({ event: 'pools', pools }, 'pools');
+    if (due) this.loggedAt = now;
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
--- a/src/leadership/leadership.test.ts
+++ b/src/leadership/leadership.test.ts
@@ -57,7 +57,7 @@
       boot: 'mine',
       onStatus: () => undefined,
     },
-    facts: () => ({ contactAge: 0, token: 0, cancelled: [], gone: [] }),
+    facts: () => ({ contactAge: 0, token: 0, cancelled: [], gone: [], up: [] }),
   });
   const first = links.compose('keel-1');
   now = 9000;
@@ -67,6 +67,7 @@
     token: 0,
     cancelled: [],
     gone: [],
+    up: [],
     contactAge: 40,
     echoBoot: 'mine',
   };
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -25,6 +25,8 @@
   cancelled: string[];
   /** Machines that it has lately proven gone. */
   gone: string[];
+  /** Machines that it has lately heard of for the first time. */
+  up: string[];
 }
 
 interface Heard {
@@ -37,7 +39,7 @@
   log: Log;
   settings: Settings;
   boot: string;
-  facts: () => Pick<PeerStatus, 'contactAge' | 'token' | 'cancelled' | 'gone'>;
+  facts: () => Pick<PeerStatus, 'contactAge' | 'token' | 'cancelled' | 'gone' | 'up'>;
   onStatus: (status: PeerStatus) => void;
 }
 
@@ -121,8 +123,8 @@
     const handle = new Writable({
       objectMode: true,
       write: (status: PeerStatus, _encoding, done) => {
-        if (typeof status?.from === 'string' && Array.isArray(status.cancelled) && Array.isArray(status.gone))
-          this.receive(status);
+        const lists = [status?.cancelled, status?.gone, status?.up];
+        if (typeof status?.from === 'string' && lists.every(Array.isArray)) this.receive(status);
         done();
       },
     });
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -120,6 +120,11 @@
     return [...this.gone].filter(([, at]) => at >= time).map(([id]) => id);
   }
 
+  /** What was first heard of since then, for all who deal tasks to blocks. */
+  upSince(time: number): string[] {
+    return [...this.machines.values()].filter((m) => m.seen && m.seenAt >= time).map((m) => m.id);
+  }
+
   report(machine: MachineState, report: Report, mayStart: boolean): Reconciliation {
     const now = this.options.clock();
     const result = reconcile(machine, report, {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -37,14 +37,15 @@
 export class StoreUnavailable extends Error {}
 
 /**
- * `intake` carries what users wait for, `duty` all else, so that a burst of intents cannot make a submission late.
+ * `intake` carries what users submit and cancel, `confirm` what their questions ask for, `duty` all else: neither a
+ * burst of intents nor one of questions can make a submission late.
  */
-export type Lane = 'intake' | 'duty';
+export type Lane = 'intake' | 'confirm' | 'duty';
 
 /** Shares of the limits, which hold for all controllers together; the whole stays below them. */
 const shares = {
-  requests: { intakeAll: 0.3, leaderDuty: 0.2, followersDuty: 0.25 },
-  writes: { intakeAll: 0.2, leaderDuty: 0.25, followersDuty: 0.48 },
+  requests: { intakeAll: 0.12, confirmsAll: 0.23, leaderDuty: 0.15, followersDuty: 0.25 },
+  writes: { intakeAll: 0.2, confirmsAll: 0.01, leaderDuty: 0.25, followersDuty: 0.48 },
 };
 /** What watches take of the requests: each that returns with changes is followed by another. */
 const watchShare = 0.2;
@@ -72,6 +73,7 @@
     this.watchPeer = new HttpPeer(settings.stateAddress, 1);
     const pacers = (): Record<Lane, Pacer> => ({
       intake: new Pacer(1, 1, clock),
+      confirm: new Pacer(1, 1, clock),
       duty: new Pacer(1, 1, clock),
     });
     this.requests = pacers();
@@ -91,6 +93,7 @@
       const intake = (rate * share.intakeAll) / sharing;
       const duty = rate * (leading ? share.leaderDuty : share.followersDuty / followers);
       pacers.intake.setRate(intake, Math.max(1, rate * burstShare));
+      pacers.confirm.setRate((rate * share.confirmsAll) / sharing, Math.max(1, rate * burstShare));
       // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
       pacers.duty.setRate(duty, Math.max(2, rate * burstShare));
     };
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -22,6 +22,7 @@
   introducedAt: number | undefined;
   /** It has reported to this owner. */
   seen = false;
+  seenAt = 0;
   /** To be given back or leased to another: nothing more is placed on it. */
   leaving = false;
   faulty = false;
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -36,6 +36,7 @@
   machine.session = report.session;
   machine.seq = report.seq;
   machine.lastSeen = facts.now;
+  if (!machine.seen) machine.seenAt = facts.now;
   machine.seen = true;
   machine.address = report.address;
   machine.notice = report.noticeS;
