--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -42,6 +42,7 @@
 
 /** Open jobs that a controller keeps track of, per MB of its memory. */
 const openJobsPerMb = 20;
+const cancelTries = 3;
 const retrySoonS = 1;
 const retryOverloadS = 3;
 
@@ -132,36 +133,37 @@
   private async cancel(id: string): Promise<Reply> {
     const { mirror, store, writes } = this.ports;
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
-    const known = parseEnd(mirror.get(endKey(id))?.value);
-    if (known) return { status: 200, body: jobAnswer(id, known.end) };
+    const ended = parseEnd(mirror.get(endKey(id))?.value);
+    if (ended) return { status: 200, body: jobAnswer(id, ended.end) };
     if (store.failing) return trouble('state service');
-    // Cancels keep their room: they are taken even where submissions no longer are.
-    let jobVersion = mirror.version(jobKey(id));
-    let tasks = parseJobRecord(mirror.get(jobKey(id))?.value)?.spec.tasks ?? 0;
-    if (jobVersion === 0) {
-      try {
-        const item = await store.read(jobKey(id), 'intake');
-        jobVersion = item?.version ?? 0;
-        tasks = parseJobRecord(item?.value)?.spec.tasks ?? 0;
-      } catch {
-        return trouble('state service');
+    // Cancels keep their room: they are taken even where submissions no longer are. The leader may deal the job anew
+    // meanwhile, which gives its record a new version, so that is read and tried again before the user has to.
+    let known = mirror.get(jobKey(id));
+    for (let attempt = 0; attempt < cancelTries; attempt++) {
+      if (!known) {
+        try {
+          known = await store.read(jobKey(id), 'intake');
+        } catch {
+          return trouble('state service');
+        }
       }
-    }
-    if (jobVersion > 0) {
+      if (!known) break;
+      const value = endRecord('cancelled', parseJobRecord(known.value)?.spec.tasks ?? 0);
       const outcome = await writes.commit(
         [
           { key: endKey(id), version: 0 },
-          { key: jobKey(id), version: jobVersion },
+          { key: jobKey(id), version: known.version },
         ],
-        [{ put: endKey(id), value: endRecord('cancelled', tasks) }, { drop: jobKey(id) }],
+        [{ put: endKey(id), value }, { drop: jobKey(id) }],
       );
       if (outcome.kind === 'applied') {
         this.cancels.add(id);
-        mirror.learnEnd(endKey(id), { value: endRecord('cancelled', tasks), version: outcome.revision });
+        mirror.learnEnd(endKey(id), { value, version: outcome.revision });
         return { status: 200, body: jobAnswer(id, 'cancelled') };
       }
       if (outcome.kind !== 'conflict') return trouble('state service');
-      // The leader may have placed the job anew meanwhile: the user's next try finds its new version.
+      if (outcome.failed.includes(endKey(id))) break;
+      known = undefined;
     }
     const standing = await this.standing(id);
     if (standing.kind === 'ended') {
