Mend jobs that waited for ever: a refusal that came after the watch hid the new version

A commit that was turned down marked the job's present version as refused, not the one it had been conditioned on. Likewise a job's record is learned from our own commit only where the watch has not passed it. The watch goes on where it failed instead of reading all keys anew, which a slow store never finished.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -75,7 +75,7 @@
     // Every call in flight listens on it, and there may be many.
     setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
-    const mirror = new Mirror(store, store.watchGapMs);
+    const mirror = new Mirror(store, store.watchGapMs, probeMs);
     const census = new Census(clock);
     const registry = new Registry(mirror);
     const cloud = new CloudClient(settings, clock, signal);
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -1,12 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type JobSpec, taskKey } from '../model/types.js';
+import { silentLog } from '../base/log.js';
+import type { CommitOutcome, StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import { machineType } from '../testing/cloud-standin.js';
+import { testSettings } from '../testing/settings.js';
+import { parseMachineTypes } from '../wire/cloud.js';
 import { sizeOf } from '../wire/codec.js';
 import { ledgerPage, tasksPerChunk } from '../wire/records.js';
+import type { Condition } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { Board } from './board.js';
+import { Census } from './census.js';
 import { JobState } from './job-state.js';
 import { Ledger, snapshot } from './ledger.js';
+import { Scheduler } from './scheduler.js';
 
 const valueBytes = 32 * 1024;
 const spec = (id: string, tasks: number): JobSpec => ({
@@ -74,6 +83,51 @@
   );
 });
 
+// Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
+test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
+  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0 });
+  const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
+  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
+  const put = (version: number): void =>
+    board.apply([
+      {
+        key: 'job/req-1',
+        value: { spec: { ...spec('req-1', 1), team: 'blue' }, parts: [[0, 0, 1]] },
+        version,
+        deleted: false,
+      },
+    ]);
+  put(3);
+  const seen: number[] = [];
+  const stop = new AbortController();
+  const commits = {
+    full: false,
+    commit: (conditions: Condition[]): Promise<CommitOutcome> => {
+      seen.push(conditions.find((c) => c.key === 'job/req-1')?.version ?? 0);
+      if (seen.length > 1) return Promise.resolve({ kind: 'applied', revision: 9 });
+      put(5);
+      return Promise.resolve({ kind: 'conflict', failed: ['job/req-1'], revision: 6 });
+    },
+  } as unknown as CommitStage;
+  const scheduler = new Scheduler({
+    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: stop.signal },
+    store: { failing: false } as StoreClient,
+    ...{ commits, board, census: new Census(() => 0) },
+    types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
+  });
+  const machine = board.machines.get('m1') as MachineState;
+  const facts = { machine: 'm1', address: 'x', ...leased, noticeS: null, session: 1, tasks: [] };
+  board.report(machine, { ...facts, seq: 1, token: 7 }, true);
+  const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
+  scheduler.placeNow();
+  await settle();
+  scheduler.placeNow();
+  await settle();
+  assert.deepEqual(seen, [3, 5]);
+  assert.equal(board.jobs.get('req-1')?.tasks.get(0)?.phase, 'placed');
+  stop.abort();
+});
+
 // Its reports arrive, so it is never silent, while answers and commands do not reach it.
 test('a machine that is told and told again without doing it counts as deaf; one that does as told does not', () => {
   let now = 0;
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -172,13 +172,10 @@
     page.dirt = 'clean';
     const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => board.takeOff(task));
     // A job's record goes with its end, so its version says that the job is open, and placed as we know it.
-    const jobs = new Map(shot.placing.map((task) => [jobKey(task.job.id), task.job]));
+    const jobs = new Map(shot.placing.map(({ job }) => [job, job.version]));
+    const open = [...jobs].map(([job, version]) => ({ key: jobKey(job.id), version }));
     const outcome = await commits.commit(
-      [
-        block,
-        { key, version: page.version },
-        ...[...jobs].map(([k, job]) => ({ key: k, version: job.version })),
-      ],
+      [block, { key, version: page.version }, ...open],
       [{ put: key, value: ledgerPage(shot.entries) }],
     );
     page.busy = false;
@@ -199,19 +196,20 @@
     page: LedgerPage,
     shot: PageSnapshot,
     outcome: CommitOutcome,
-    at: { block: Condition; key: string; jobs: ReadonlyMap<string, JobState> },
+    at: { block: Condition; key: string; jobs: ReadonlyMap<JobState, number> },
   ): Promise<void> {
     const { board, clock } = this.ports;
     for (const chunk of page.chunks) chunk.entry = undefined;
-    page.soil(shot.placing.length > 0 ? 'now' : 'soon', clock());
     if (outcome.kind === 'conflict') {
       for (const task of shot.placing) {
         // Ended, or dealt anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
         if (!outcome.failed.includes(jobKey(task.job.id))) continue;
-        task.job.rejected = task.job.version;
+        // The version that was turned down: the watch may have brought its successor by now.
+        task.job.rejected = at.jobs.get(task.job) ?? -1;
         if (task.phase === 'placing') board.takeOff(task);
       }
     }
+    page.soil(shot.placing.some((task) => task.phase === 'placing') ? 'now' : 'soon', clock());
     await this.settle(outcome, at.block, at.key, page);
   }
 
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -16,7 +16,7 @@
     {},
   ),
   blocks: v.optional(
-    v.strictObject({ periodS: v.optional(ratio, 30), lookahead: v.optional(share, 0.1) }),
+    v.strictObject({ periodS: v.optional(ratio, 30), lookahead: v.optional(share, 0.25) }),
     {},
   ),
   leadership: v.optional(v.strictObject({ grantReports: v.optional(ratio, 2.4) }), {}),
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -27,6 +27,7 @@
   constructor(
     private readonly client: Pick<StoreClient, 'list' | 'watch'>,
     private readonly gapMs: number,
+    private readonly retryMs = gapMs,
   ) {}
 
   get ready(): boolean {
@@ -66,10 +67,12 @@
     }
   }
 
-  /** What we have just committed ourselves: it need not wait for the watch to bring it. */
+  /**
+   * What we have just committed ourselves: it need not wait for the watch to bring it. Where the watch was quicker, it
+   * may have brought the end of it, too.
+   */
   learn(key: string, entry: Entry): void {
-    if (this.loaded && entry.version > this.version(key))
-      this.apply([{ key, ...entry, deleted: false }], this.at);
+    if (this.loaded && entry.version > this.at) this.apply([{ key, ...entry, deleted: false }], this.at);
   }
 
   listen(listener: ChangeListener): () => void {
@@ -109,7 +112,15 @@
 
   private async *changes(signal: AbortSignal): AsyncGenerator<{ changes: Change[]; revision: number }> {
     while (!signal.aborted) {
-      const next = await this.client.watch(this.at);
+      let next: Awaited<ReturnType<StoreClient['watch']>>;
+      try {
+        next = await this.client.watch(this.at);
+      } catch {
+        // Whatever we miss is still there to be asked for. Reading all keys anew would be the last thing that a slow
+        // service needs, and takes longer than it gives an answer.
+        await sleep(this.retryMs, signal);
+        continue;
+      }
       if (!next) return;
       yield next;
       // Under constant change every watch returns at once: the gap keeps it from eating our share of requests.
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -85,6 +85,30 @@
   assert.equal(mirror.revision, 7);
 });
 
+// Guards against jobs that ended long ago and are taken for open for ever.
+test('what this controller has committed is known at once, unless the watch has brought its end by then', async () => {
+  const job = (version: number, deleted: boolean): Change => ({ key: 'job/a', value: 1, version, deleted });
+  let asked = 0;
+  const client = {
+    list: () => Promise.resolve({ items: [], revision: 5 }),
+    watch: () => {
+      asked++;
+      if (asked === 1) return Promise.reject(new Error('no answer in time'));
+      return Promise.resolve(asked === 2 ? { changes: [job(9, true)], revision: 9 } : undefined);
+    },
+  };
+  const mirror = new Mirror(client, 0);
+  await mirror.follow(new AbortController().signal);
+  // A watch that fails is asked again where it stopped: nothing is read anew.
+  assert.deepEqual([asked, mirror.revision], [3, 9]);
+  mirror.learn('job/a', { value: 1, version: 7 });
+  assert.equal(mirror.version('job/a'), 0);
+  const heard: string[] = [];
+  mirror.listen((changes) => heard.push(...changes.map((c) => c.key)));
+  mirror.learn('job/b', { value: 1, version: 10 });
+  assert.deepEqual([mirror.version('job/b'), mirror.revision, heard], [10, 9, ['job/b']]);
+});
+
 test('after a gap in the watch, listeners hear of what has changed and what has gone', async () => {
   const stop = new AbortController();
   const lists = [
