Full cheap machines no longer send cheap work to the ordinary ones

Machines without room are left out of a round early, and the rule then took 'no cheap room' for 'no cheap machine'.

--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -15,6 +15,7 @@
 import { Census } from './census.js';
 import { JobState } from './job-state.js';
 import { Ledger, snapshot } from './ledger.js';
+import { Usage, plan } from './plan.js';
 import { Scheduler } from './scheduler.js';
 
 const valueBytes = 32 * 1024;
@@ -83,6 +84,30 @@
   );
 });
 
+// Guards against ordinary machines filled with work that could have waited for a cheap one.
+test('work that may use cheap machines leaves the ordinary ones alone, also while every cheap one is full', () => {
+  const machine = (id: string, spot: boolean): MachineState => {
+    const state = new MachineState(id, 0);
+    state.place = { id, type: 'c8', zone: 'a', spot };
+    return state;
+  };
+  const machines = [machine('m1', true), machine('m2', false)];
+  const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t]));
+  const ledger = new Ledger(valueBytes);
+  const job = JobState.of({ ...spec('req-1', 6), spot: true }, 1, { block: 0, ledger, perChunk: 100 });
+  job.assignRanges([{ block: 0, first: 0, count: 6 }], 1);
+  const place = (): string[] => {
+    const facts = { now: 0, jobs: [job], machines, types, usage: new Usage(), most: 9, usable: () => true };
+    const choices = plan({ ...facts, team: (name) => testSettings().teams.get(name) });
+    for (const { task, machine: on } of choices) on.tasks.set(`${task.job.id}/${task.index}`, task);
+    return choices.map((choice) => choice.machine.id);
+  };
+  assert.deepEqual(place(), ['m1', 'm1', 'm1', 'm1']);
+  assert.deepEqual(place(), []);
+  machines.shift();
+  assert.deepEqual(place(), ['m2', 'm2']);
+});
+
 // Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
 test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
   const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0 });
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -89,10 +89,12 @@
   if (waiting.length === 0) return choices;
   waiting.sort((a, b) => byOrderOfWork(a.spec, b.spec));
   const least = leastOf(waiting.map(({ job }) => job.need));
-  const rooms = [...facts.machines]
+  const usable = [...facts.machines]
     .filter(facts.usable)
     .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
-    .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined)
+    .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined);
+  const cheapTypes = new Set(usable.filter((m) => m.machine.place.spot).map((m) => m.type.name));
+  const rooms = usable
     .map((m) => ({ ...m, free: m.machine.free(m.type) }))
     .filter(({ free }) => fits(least, free))
     .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
@@ -106,9 +108,10 @@
         (spec.zone === null || spec.zone === machine.place.zone) &&
         (spec.spot || !machine.place.spot),
     );
-    // Work that may use cheap machines leaves ordinary ones to work that may not, as long as there are cheap ones.
-    const cheap = spec.spot ? candidates.filter(({ machine }) => machine.place.spot) : [];
-    if (cheap.length > 0) candidates = cheap;
+    // Work that may use cheap machines leaves ordinary ones to work that may not, as long as there are cheap ones, even
+    // if all of them are full.
+    const cheap = [...cheapTypes].some((type) => spec.types === null || spec.types.includes(type));
+    if (spec.spot && cheap) candidates = candidates.filter(({ machine }) => machine.place.spot);
     candidates = quickestFirst(candidates, spec.image);
     let left = job.waiting;
     let at = 0;
