--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -70,8 +70,8 @@
     for (const { scheduler } of this.tenures.values()) scheduler.poke();
   }
 
-  placeNow(board: Board): void {
-    this.tenures.get(board.block)?.scheduler.placeNow();
+  placeNow(board: Board, machine: MachineState): void {
+    this.tenures.get(board.block)?.scheduler.placeNow(machine);
   }
 
   /** There is room on the machine, and it may be used. */
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -40,6 +40,8 @@
   readonly machines = new Map<string, MachineState>();
   /** Proven gone, however long the block's record or a late report still speaks of them. */
   private readonly gone = new Map<string, number>();
+  /** Machines with tasks that they should not have: their teams are charged for them all the same. */
+  private readonly withStrays = new Set<MachineState>();
   readonly ledger: Ledger;
   private blockVersion = 0;
   private shares: Shares = {};
@@ -83,7 +85,7 @@
       // A machine is taken out of a block only when it is empty. Should it not be, its tasks keep their place until
       // the cloud proves them gone.
       if (listed.has(machine.id)) continue;
-      if (machine.tasks.size === 0) this.machines.delete(machine.id);
+      if (machine.tasks.size === 0) this.forget(machine.id);
       else machine.leaving = true;
     }
   }
@@ -132,6 +134,8 @@
       mayStart,
       jobs: this.jobs,
     });
+    if (machine.strays.length > 0) this.withStrays.add(machine);
+    else this.withStrays.delete(machine);
     for (const finding of result.findings) {
       if (finding.kind === 'seen') {
         finding.task.phase = 'seen';
@@ -155,7 +159,7 @@
     }
     const lost = [...(this.machines.get(id)?.tasks.values() ?? [])];
     for (const task of lost) this.takeOff(task);
-    this.machines.delete(id);
+    this.forget(id);
     return lost;
   }
 
@@ -172,7 +176,7 @@
   usage(): Usage {
     const usage = new Usage();
     for (const job of this.jobs.values()) if (job.active > 0) usage.add(job.team, job.need, job.active);
-    for (const machine of this.machines.values()) {
+    for (const machine of this.withStrays) {
       for (const stray of machine.strays) if (stray.team !== '') usage.add(stray.team, stray.need);
     }
     return usage;
@@ -191,6 +195,12 @@
     };
   }
 
+  private forget(id: string): void {
+    const machine = this.machines.get(id);
+    if (machine) this.withStrays.delete(machine);
+    this.machines.delete(id);
+  }
+
   private left(machine: MachineState, task: Task, cause: string, now: number): void {
     const { job } = task;
     this.takeOff(task);
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -98,7 +98,8 @@
   job.assignRanges([{ block: 0, first: 0, count: 6 }], 1);
   const place = (): string[] => {
     const facts = { now: 0, jobs: [job], machines, types, usage: new Usage(), most: 9, usable: () => true };
-    const choices = plan({ ...facts, team: (name) => testSettings().teams.get(name) });
+    const cheap = new Set(machines.some((m) => m.place.spot) ? ['c8'] : []);
+    const choices = plan({ ...facts, cheap, partial: false, team: (name) => testSettings().teams.get(name) });
     for (const { task, machine: on } of choices) on.tasks.set(`${task.job.id}/${task.index}`, task);
     return choices.map((choice) => choice.machine.id);
   };
@@ -144,9 +145,9 @@
   const facts = { machine: 'm1', address: 'x', ...leased, noticeS: null, session: 1, tasks: [] };
   board.report(machine, { ...facts, seq: 1, token: 7 }, true);
   const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
-  scheduler.placeNow();
+  scheduler.placeNow(machine);
   await settle();
-  scheduler.placeNow();
+  scheduler.placeNow(machine);
   await settle();
   assert.deepEqual(seen, [3, 5]);
   assert.equal(board.jobs.get('req-1')?.tasks.get(0)?.phase, 'placed');
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -14,6 +14,10 @@
   now: number;
   jobs: Iterable<JobState>;
   machines: Iterable<MachineState>;
+  /** Types of which the block has cheap machines, with room or without. */
+  cheap: ReadonlySet<string>;
+  /** A round for some of the block's machines only: jobs whose tasks depend on each other's zones wait for a whole one. */
+  partial: boolean;
   types: ReadonlyMap<string, MachineType>;
   /** The team with what this block may use of its limits. */
   team: (name: string) => Team | undefined;
@@ -81,7 +85,12 @@
   const choices: Choice[] = [];
   const waiting = [...facts.jobs]
     .filter(
-      (job) => job.waiting > 0 && !job.ending && job.retryAt <= facts.now && job.version !== job.rejected,
+      (job) =>
+        job.waiting > 0 &&
+        !job.ending &&
+        !(facts.partial && isBound(job)) &&
+        job.retryAt <= facts.now &&
+        job.version !== job.rejected,
     )
     .map((job) => ({ job, spec: job.spec }))
     .filter((entry): entry is { job: JobState; spec: JobSpec } => entry.spec !== undefined);
@@ -93,7 +102,6 @@
     .filter(facts.usable)
     .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
     .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined);
-  const cheapTypes = new Set(usable.filter((m) => m.machine.place.spot).map((m) => m.type.name));
   const rooms = usable
     .map((m) => ({ ...m, free: m.machine.free(m.type) }))
     .filter(({ free }) => fits(least, free))
@@ -110,7 +118,7 @@
     );
     // Work that may use cheap machines leaves ordinary ones to work that may not, as long as there are cheap ones, even
     // if all of them are full.
-    const cheap = [...cheapTypes].some((type) => spec.types === null || spec.types.includes(type));
+    const cheap = [...facts.cheap].some((type) => spec.types === null || spec.types.includes(type));
     if (spec.spot && cheap) candidates = candidates.filter(({ machine }) => machine.place.spot);
     candidates = quickestFirst(candidates, spec.image);
     let left = job.waiting;
@@ -149,6 +157,10 @@
   return ranked.flat();
 }
 
+function isBound(job: JobState): boolean {
+  return job.spec !== undefined && (job.spec.oneZone || job.spec.spread);
+}
+
 /** What has no room for this has none for any of them. */
 function leastOf(needs: Resources[]): Resources {
   return {
@@ -161,7 +173,7 @@
 /** Active tasks of the job by zone. */
 function zonesInUse(job: JobState, machines: Iterable<MachineState>): Map<string, number> {
   const zones = new Map<string, number>();
-  if (!job.spec?.oneZone && !job.spec?.spread) return zones;
+  if (!isBound(job)) return zones;
   for (const machine of machines) {
     for (const task of machine.tasks.values()) {
       if (task.job === job) zones.set(machine.place.zone, (zones.get(machine.place.zone) ?? 0) + 1);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -39,6 +39,8 @@
 export class Scheduler {
   private wanted = true;
   private rejectedVersion = -1;
+  /** Types of the block's usable cheap machines, as of the last whole round. */
+  private cheap: ReadonlySet<string> = new Set();
   /** How long completions are gathered before a page is written for their sake alone. */
   private readonly gatherMs: number;
 
@@ -53,10 +55,10 @@
     this.wanted = true;
   }
 
-  /** A round at once, for a report whose answer can carry its starts. */
-  placeNow(): void {
+  /** A round at once for one machine, whose answer can carry its starts. */
+  placeNow(machine: MachineState): void {
     if (this.ports.signal.aborted || this.ports.store.failing) return;
-    this.place();
+    this.place([machine]);
     this.persist();
   }
 
@@ -108,12 +110,15 @@
     }
   }
 
-  private place(): void {
+  private place(machines?: MachineState[]): void {
     const { board, clock, settings, types } = this.ports;
+    if (!machines) this.cheap = this.cheapTypes();
     const choices = plan({
       now: clock(),
       jobs: board.jobs.values(),
-      machines: board.machines.values(),
+      machines: machines ?? board.machines.values(),
+      cheap: this.cheap,
+      partial: machines !== undefined,
       types: types(),
       team: (name) => {
         const team = settings.teams.get(name);
@@ -126,6 +131,11 @@
     for (const { task, machine } of choices) board.put(task, machine);
   }
 
+  private cheapTypes(): Set<string> {
+    const cheap = [...this.ports.board.machines.values()].filter((m) => m.place.spot && this.usable(m));
+    return new Set(cheap.map((machine) => machine.place.type));
+  }
+
   private persist(): void {
     const { board, commits, clock } = this.ports;
     // The store knows the block under another version; nothing can be committed until the watch brings it.
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -59,7 +59,7 @@
     machine.introducedAt = undefined;
     const { token, seq } = machine;
     const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
-    tenancy.placeNow(board);
+    tenancy.placeNow(board, machine);
     await tenancy.decided(board, () => machine.tasks.values(), settleMs);
     const quiet = result.orders.every((order) => order.kind === 'forget');
     const holdMs = this.holdMs(machine);
