--- a/src/controller.ts
+++ b/src/controller.ts
@@ -190,7 +190,12 @@
       term,
       types,
     };
-    const fleet = new Fleet({ ...shared, wallClock: Date.now, leased: () => registry.machines() });
+    const fleet = new Fleet({
+      ...shared,
+      firstEver: registry.blocks().size === 0,
+      wallClock: Date.now,
+      leased: () => registry.machines(),
+    });
     const landlord = new Landlord({
       ...shared,
       fleet,
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -14,7 +14,7 @@
 import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
-import { Surplus } from './surplus.js';
+import { Lack, Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
 import { Witness } from './witness.js';
 
@@ -29,6 +29,8 @@
   mirror: Mirror;
   commits: CommitStage;
   term: Term;
+  /** There has been no leader before, so no rental of one is still to be listed. */
+  firstEver: boolean;
   types: () => ReadonlyMap<string, MachineType>;
   /** All machines of all blocks, as the store has them. */
   leased: () => ReadonlyMap<string, LeasedMachine>;
@@ -54,6 +56,7 @@
   private pools = new Map<string, Pool>();
   private readonly ladders = new Map<string, { ladder: Ladder; tuner: Tuner }>();
   private readonly surplus = new Surplus();
+  private readonly lack: Lack;
   private readonly witness: Witness;
   private tunedAt: number;
   private loggedAt = -Infinity;
@@ -62,6 +65,7 @@
   private listedAt = -Infinity;
 
   constructor(private readonly ports: FleetPorts) {
+    this.lack = new Lack(ports.operator.ladder);
     this.witness = new Witness(ports.settings.reportMs);
     this.tunedAt = ports.clock();
     this.refusals = new Refusals(ports.settings.cloud.listLagMs * 2);
@@ -123,11 +127,11 @@
   }
 
   private async keepRenting(): Promise<void> {
-    const { term, clock, settings } = this.ports;
+    const { term, clock, settings, firstEver } = this.ports;
     while (!term.signal.aborted) {
       // What the last leader rented takes a while to be listed; renting sooner would rent it twice.
-      const informed =
-        clock() - term.startedAt > settings.cloud.listLagMs * 2 && this.listedAt > term.startedAt;
+      const patience = firstEver ? 0 : settings.cloud.listLagMs;
+      const informed = clock() - term.startedAt > patience && this.listedAt > term.startedAt;
       if (informed && this.ports.types().size > 0) await this.step();
       await sleep(tickMs, term.signal);
     }
@@ -159,9 +163,10 @@
     await this.tune(now);
     for (const pool of pools.values()) {
       const { ladder } = this.of(pool.key);
-      const want = ladder.rentTo(pool.machines.length, pool.counted);
-      if (want > pool.machines.length) await this.rent(pool, want - pool.machines.length);
-      this.giveBack(pool, this.surplus.lasting(pool, ladder, now));
+      const lacking = this.lack.count(pool, ladder, now);
+      const surplus = this.surplus.count(pool, ladder, now);
+      if (lacking > 0) await this.rent(pool, lacking);
+      else this.giveBack(pool, surplus);
     }
   }
 
--- a/src/ladder/ladder.test.ts
+++ b/src/ladder/ladder.test.ts
@@ -4,7 +4,7 @@
 import type { MachineType } from '../model/types.js';
 import type { LeasedMachine } from '../wire/records.js';
 import { Refusals } from './refusals.js';
-import { Surplus } from './surplus.js';
+import { Lack, Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
 
 const shape = { slotShare: 0.125, start: 0.8 };
@@ -70,7 +70,7 @@
 test('machines are given back once they have been too many for a boot time, as many as there were all along', () => {
   const ladder = new Ladder(shape);
   const surplus = new Surplus();
-  const pool = (counted: number): Parameters<Surplus['lasting']>[0] => ({
+  const pool = (counted: number): Parameters<Surplus['count']>[0] => ({
     ...{ key: 'c8/spot', counted, machines: new Array<LeasedMachine>(3) },
     type: { bootS: 40 } as MachineType,
   });
@@ -85,5 +85,25 @@
     [119_000, 0, 3],
   ];
   for (const [now, counted, count] of trace)
-    assert.equal(surplus.lasting(pool(counted), ladder, now), count, `at ${now}`);
+    assert.equal(surplus.count(pool(counted), ladder, now), count, `at ${now}`);
+});
+
+test('what has no room is rented for at once, room to spare only once it has been lacking for a while', () => {
+  const ladder = new Ladder(shape);
+  const lack = new Lack(shape);
+  const pool = (counted: number): Parameters<Lack['count']>[0] => ({
+    ...{ key: 'c8/spot', counted, machines: new Array<LeasedMachine>(10) },
+    type: { bootS: 40 } as MachineType,
+  });
+  const trace: [number, number, number][] = [
+    [0, 78, 0], // ten machines have room for 80; the ladder would have thirteen
+    [5000, 60, 0],
+    [10_000, 78, 0],
+    [12_000, 100, 3],
+    [15_000, 78, 0],
+    [20_000, 78, 3],
+  ];
+  assert.equal(ladder.rentTo(10, 78), 13);
+  for (const [now, counted, count] of trace)
+    assert.equal(lack.count(pool(counted), ladder, now), count, `at ${now}`);
 });
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -208,7 +208,8 @@
       else this.contactAt = Math.max(this.contactAt, sentAt);
       return answer;
     } catch (error) {
-      this.refusedAt = this.clock();
+      // One answer that is slow or lost says nothing while others that were asked for later have come.
+      if (this.contactAt <= sentAt) this.refusedAt = this.clock();
       throw error;
     }
   }
