--- a/src/base/pacer.ts
+++ b/src/base/pacer.ts
@@ -28,12 +28,9 @@
     return this.level >= 0 ? 0 : (-this.level / this.rate) * 1000;
   }
 
-  /** Takes the units only if they are there. */
-  tryTake(units: number): boolean {
-    this.refill();
-    if (this.level < units) return false;
-    this.level -= units;
-    return true;
+  /** How many milliseconds it takes until what has been spent is earned. */
+  owedMs(): number {
+    return this.reserve(0);
   }
 
   private refill(): void {
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -47,14 +47,13 @@
 }
 
 const tickMs = 200;
-const freshEveryMs = 1000;
 
 /** The leader's leasing of machines, of shares of the teams' limits, and of jobs too big for one block. */
 export class Landlord {
   /** The copy must have reached this revision before we build on it again. */
   private committed = 0;
   private sharesAt = -Infinity;
-  private freshAt = -Infinity;
+  private leasedAt = -Infinity;
   /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
   private readonly uncertain = new Map<number, number>();
   private readonly aliveSince = new Map<string, number>();
@@ -77,16 +76,20 @@
   }
 
   private async leaseBlocks(): Promise<void> {
-    const { settings, registry, census, fleet } = this.ports;
+    const { settings, registry, census, fleet, clock } = this.ports;
     const blocks = registry.blocks();
     if (await this.settleUncertain(blocks)) return;
     const alive = this.alive();
+    // What does not press is gathered: every new version of a block fails the intents that its owner has under way.
+    const pressing = blocks.size < settings.controllers || this.ownersChange(blocks);
+    if (!pressing && clock() - this.leasedAt < settings.reportMs / 2) return;
+    this.leasedAt = clock();
     const next = nextBlocks({
       count: settings.controllers,
       blocks,
       alive,
       settled: new Set(alive.map((m) => m.label).filter((label) => this.settled(label))),
-      fresh: this.freshDue() ? [...fleet.fresh.values()] : [],
+      fresh: [...fleet.fresh.values()],
       gone: fleet.gone,
       busy: census.loads(),
       unwanted: new Set([...fleet.unwanted, ...fleet.lost]),
@@ -136,12 +139,8 @@
     } else log.debug({ event: 'lease-failed', block, outcome, at: clock() }, 'block not leased');
   }
 
-  /** Machines are leased in batches: every new version of a block fails the intents that its owner has under way. */
-  private freshDue(): boolean {
-    const { clock } = this.ports;
-    if (clock() - this.freshAt < freshEveryMs) return false;
-    this.freshAt = clock();
-    return true;
+  private ownersChange(blocks: ReadonlyMap<number, BlockRecord>): boolean {
+    return [...blocks.values()].some((record) => !this.ports.registry.isAlive(record.owner));
   }
 
   private logOwner(block: number, before: BlockRecord | undefined, record: BlockRecord): void {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -286,6 +286,18 @@
     );
   }
 
+  private shareStore(): void {
+    const { registry, settings, store, election } = this;
+    const alive = Math.max(1, registry.alive().length);
+    let own = 0;
+    let all = 0;
+    for (const { owner, machines } of registry.blocks().values()) {
+      all += machines.length;
+      if (owner === settings.label) own += machines.length;
+    }
+    store.setRole({ leading: election.term !== undefined, alive, machines: all > 0 ? own / all : 1 / alive });
+  }
+
   private async followTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       for (const type of await this.cloud.machineTypes()) this.types.set(type.name, type);
@@ -301,7 +313,7 @@
       }
       this.tenancy.follow([]);
       for (const board of this.tenancy.boards()) this.noteUp(board.upSince(this.clock() - toldMs));
-      this.store.setRole(this.election.term !== undefined, this.registry.alive().length);
+      this.shareStore();
       await sleep(probeMs, signal);
     }
   }
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -137,7 +137,7 @@
   } as unknown as CommitStage;
   const scheduler = new Scheduler({
     ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: stop.signal },
-    store: { failing: false } as StoreClient,
+    store: { failing: false, mayWrite: () => true } as unknown as StoreClient,
     ...{ commits, board, census: new Census(() => 0) },
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -136,10 +136,18 @@
     return new Set(cheap.map((machine) => machine.place.type));
   }
 
+  /**
+   * Only what can go out at once is gathered: the block's record changes often, and what waits for its turn has been
+   * turned down by then. Nor can anything be committed while the store knows the block under another version.
+   */
+  private mayCommit(): boolean {
+    const { board, store } = this.ports;
+    return board.version !== this.rejectedVersion && store.mayWrite('duty');
+  }
+
   private persist(): void {
     const { board, commits, clock } = this.ports;
-    // The store knows the block under another version; nothing can be committed until the watch brings it.
-    if (board.version === this.rejectedVersion) return;
+    if (!this.mayCommit()) return;
     for (const page of board.ledger.pages.values()) {
       if (commits.full) return;
       const due = page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > this.gatherMs);
@@ -149,7 +157,7 @@
 
   private endJobs(): void {
     const { board, commits, clock } = this.ports;
-    if (board.version === this.rejectedVersion) return;
+    if (!this.mayCommit()) return;
     for (const job of board.jobs.values()) {
       if (commits.full) return;
       if (job.ending) continue;
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -44,9 +44,11 @@
 
 /** Shares of the limits, which hold for all controllers together; the whole stays below them. */
 const shares = {
-  requests: { intakeAll: 0.12, confirmsAll: 0.23, leaderDuty: 0.15, followersDuty: 0.25 },
-  writes: { intakeAll: 0.2, confirmsAll: 0.01, leaderDuty: 0.25, followersDuty: 0.48 },
+  requests: { intake: 0.12, confirm: 0.23, leader: 0.08, duty: 0.32 },
+  writes: { intake: 0.18, confirm: 0.01, leader: 0.14, duty: 0.62 },
 };
+/** Of the duties' share, what goes to all evenly; the rest goes by the machines that each has. */
+const evenShare = 0.3;
 /** What watches take of the requests: each that returns with changes is followed by another. */
 const watchShare = 0.2;
 const burstShare = 0.5;
@@ -60,7 +62,6 @@
   private readonly watchPeer: HttpPeer;
   private readonly requests: Record<Lane, Pacer>;
   private readonly writes: Record<Lane, Pacer>;
-  private role = { leading: false, sharing: 0 };
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -79,23 +80,24 @@
     this.requests = pacers();
     this.writes = pacers();
     this.contactAt = clock() - settings.cancelMs;
-    this.setRole(false, settings.controllers);
+    const { controllers } = settings;
+    this.setRole({ leading: false, alive: controllers, machines: 1 / controllers });
   }
 
-  /** A controller's share depends on its role and on how many there are to share with. */
-  setRole(leading: boolean, alive: number): void {
+  /**
+   * A controller's share depends on whether it leads, on how many there are to share with, and for its block on the part
+   * of all machines that it has.
+   */
+  setRole(role: { leading: boolean; alive: number; machines: number }): void {
     const { state, controllers } = this.settings;
-    const sharing = Math.min(controllers, Math.max(1, alive));
-    if (this.role.leading === leading && this.role.sharing === sharing) return;
-    this.role = { leading, sharing };
-    const followers = Math.max(1, sharing - 1);
+    const sharing = Math.min(controllers, Math.max(1, role.alive));
+    const weight = evenShare / sharing + (1 - evenShare) * role.machines;
     const set = (pacers: Record<Lane, Pacer>, rate: number, share: (typeof shares)['writes']): void => {
-      const intake = (rate * share.intakeAll) / sharing;
-      const duty = rate * (leading ? share.leaderDuty : share.followersDuty / followers);
-      pacers.intake.setRate(intake, Math.max(1, rate * burstShare));
-      pacers.confirm.setRate((rate * share.confirmsAll) / sharing, Math.max(1, rate * burstShare));
+      const burst = Math.max(2, rate * burstShare);
+      pacers.intake.setRate((rate * share.intake) / sharing, burst);
+      pacers.confirm.setRate((rate * share.confirm) / sharing, burst);
       // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
-      pacers.duty.setRate(duty, Math.max(2, rate * burstShare));
+      pacers.duty.setRate(rate * (share.duty * weight + (role.leading ? share.leader : 0)), burst);
     };
     set(this.requests, state.rps, shares.requests);
     set(this.writes, state.writeRps, shares.writes);
@@ -156,8 +158,18 @@
     return parseChanges(answer.body);
   }
 
+  /** A commit would go out at once. */
+  mayWrite(lane: Lane): boolean {
+    return this.writes[lane].owedMs() === 0;
+  }
+
   async commit(lane: Lane, conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
-    if (writes.length > 0) await sleep(this.writes[lane].reserve(writes.length), this.signal);
+    // Waits for what was spent before and spends ahead: a commit that waited for its own changes to be earned would
+    // be out of date by the time it went.
+    if (writes.length > 0) {
+      await sleep(this.writes[lane].owedMs(), this.signal);
+      this.writes[lane].reserve(writes.length);
+    }
     let answer: Answer;
     try {
       answer = await this.call('POST', '/commit', commitBody(conditions, writes), lane);
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -65,7 +65,9 @@
         batch.flatMap((o) => o.writes),
       );
       if (outcome.kind === 'refused' && outcome.busy && repeats++ < mostRepeats) {
-        await sleep((1000 / this.settings.state.rps) * repeats, this.signal);
+        const { writeRps, rps } = this.settings.state;
+        const changes = batch.reduce((sum, o) => sum + o.writes.length, 0);
+        await sleep((1000 / rps + (1000 * changes) / writeRps) * repeats, this.signal);
         continue;
       }
       repeats = 0;
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -202,8 +202,8 @@
 }
 
 /** Worst case of one task, and of an entry without its tasks, in the JSON form that limits are measured in. */
-const bytesPerTask = 40;
-const bytesPerEntry = 160;
+const bytesPerTask = 28;
+const bytesPerEntry = 120;
 /** An entry takes this part of a page at most, so that pages fill well. */
 const chunkShare = 1 / 4;
 
