--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -23,7 +23,7 @@
 }
 
 /** How long an answer is held where there is room, in report intervals: well below the 4 s that workers wait. */
-const holdShares = { empty: 0.5, busy: 0.45 };
+const holdShares = { empty: 0.5, busy: 0.25 };
 /** Finished tasks are left in a worker's reports for so many report intervals if nothing else is to be said. */
 const tidyReports = 2;
 
