A commit confirms the attempt that it was made for, and no later one

Found on rereading, not seen in any run: a task whose machine went while its intent was on its way, and that was placed again meanwhile, counted as committed by the answer to the first commit.

--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type JobSpec, taskKey } from '../model/types.js';
+import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import { silentLog } from '../base/log.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -13,7 +13,7 @@
 import { MachineState } from '../workers/machine-state.js';
 import { Board } from './board.js';
 import { Census } from './census.js';
-import { JobState } from './job-state.js';
+import { JobState, type Task } from './job-state.js';
 import { Ledger, snapshot } from './ledger.js';
 import { Usage, plan } from './plan.js';
 import { Scheduler } from './scheduler.js';
@@ -25,6 +25,11 @@
   ...{ estimateS: 10, checkpointS: 0, saveS: 0, deadlineS: null, acceptedAt: 0 },
 });
 
+function report(machine: string, seq: number): Omit<Report, 'token'> {
+  const place = { address: 'x', type: 'c8', zone: 'a', spot: false, noticeS: null };
+  return { machine, ...place, session: 1, seq, tasks: [] };
+}
+
 function jobIn(ledger: Ledger, id: string, tasks: number): JobState {
   const job = JobState.of(spec(id, tasks), 1, { block: 0, ledger, perChunk: tasksPerChunk(valueBytes) });
   job.assignRanges([{ block: 0, first: 0, count: tasks }], 1);
@@ -109,49 +114,79 @@
   assert.deepEqual(place(), ['m2', 'm2']);
 });
 
-// Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
-test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
+interface Stage {
+  board: Board;
+  scheduler: Scheduler;
+  put: (version: number) => void;
+  /** Has the machine report, so that it may be used, and places on it. */
+  place: (machine: string) => Promise<void>;
+  task: () => Task | undefined;
+}
+
+/** A block with two machines and one job of one task, whose commits are answered as the test likes. */
+function stageWith(answer: (conditions: Condition[], stage: Stage) => CommitOutcome): Stage {
   const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0 });
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
-  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
-  const put = (version: number): void =>
-    board.apply([
-      {
-        key: 'job/req-1',
-        value: { spec: { ...spec('req-1', 1), team: 'blue' }, parts: [[0, 0, 1]] },
-        version,
-        deleted: false,
-      },
-    ]);
-  put(3);
-  const seen: number[] = [];
-  const stop = new AbortController();
+  const machines = ['m1', 'm2'].map((id) => ({ id, token: 7, ...leased }));
+  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines }, 7);
   const commits = {
     full: false,
-    commit: (conditions: Condition[]): Promise<CommitOutcome> => {
-      seen.push(conditions.find((c) => c.key === 'job/req-1')?.version ?? 0);
-      if (seen.length > 1) return Promise.resolve({ kind: 'applied', revision: 9 });
-      put(5);
-      return Promise.resolve({ kind: 'conflict', failed: ['job/req-1'], revision: 6 });
-    },
+    commit: (conditions: Condition[]) => Promise.resolve(answer(conditions, stage)),
   } as unknown as CommitStage;
   const scheduler = new Scheduler({
-    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: stop.signal },
+    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: new AbortController().signal },
     store: { failing: false, mayWrite: () => true } as unknown as StoreClient,
     ...{ commits, board, census: new Census(() => 0) },
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
-  const machine = board.machines.get('m1') as MachineState;
-  const facts = { machine: 'm1', address: 'x', ...leased, noticeS: null, session: 1, tasks: [] };
-  board.report(machine, { ...facts, seq: 1, token: 7 }, true);
-  const settle = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
-  scheduler.placeNow(machine);
-  await settle();
-  scheduler.placeNow(machine);
-  await settle();
+  const value = { spec: { ...spec('req-1', 1), team: 'blue' }, parts: [[0, 0, 1]] };
+  const stage: Stage = {
+    ...{ board, scheduler },
+    put: (version) => board.apply([{ key: 'job/req-1', value, version, deleted: false }]),
+    place: async (id) => {
+      const machine = board.machines.get(id) as MachineState;
+      board.report(machine, { ...report(id, machine.seq + 1), token: 7 }, true);
+      scheduler.placeNow(machine);
+      await new Promise((resolve) => setImmediate(resolve));
+    },
+    task: () => board.jobs.get('req-1')?.tasks.get(0),
+  };
+  stage.put(3);
+  return stage;
+}
+
+// Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
+test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
+  const seen: number[] = [];
+  const stage = stageWith((conditions, { put }) => {
+    seen.push(conditions.find((c) => c.key === 'job/req-1')?.version ?? 0);
+    if (seen.length > 1) return { kind: 'applied', revision: 9 };
+    put(5);
+    return { kind: 'conflict', failed: ['job/req-1'], revision: 6 };
+  });
+  await stage.place('m1');
+  await stage.place('m1');
   assert.deepEqual(seen, [3, 5]);
-  assert.equal(board.jobs.get('req-1')?.tasks.get(0)?.phase, 'placed');
-  stop.abort();
+  assert.equal(stage.task()?.phase, 'placed');
+});
+
+// Guards against a start that no commit speaks of: the machine went while its intent was on the way.
+test('a commit confirms the attempt that it was made for, and no later one', async () => {
+  let commits = 0;
+  const stage = stageWith((_conditions, { board, scheduler }) => {
+    if (commits++ === 0) {
+      board.remove('m1');
+      const other = board.machines.get('m2') as MachineState;
+      board.report(other, { ...report('m2', 1), token: 7 }, true);
+      scheduler.placeNow(other);
+      assert.deepEqual([stage.task()?.machine, stage.task()?.phase], ['m2', 'placing']);
+      return { kind: 'applied', revision: 8 };
+    }
+    assert.equal(stage.task()?.phase, 'placing');
+    return { kind: 'applied', revision: 9 };
+  });
+  await stage.place('m1');
+  assert.deepEqual([commits, stage.task()?.attempt, stage.task()?.phase], [2, 2, 'placed']);
 });
 
 // Its reports arrive, so it is never silent, while answers and commands do not reach it.
@@ -161,18 +196,17 @@
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
   board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
   const machine = board.machines.get('m1') as MachineState;
-  const report = (seq: number, token: number, states: Record<string, 'running'> = {}): string => {
+  const hear = (seq: number, token: number, states: Record<string, 'running'> = {}): string => {
     const tasks = Object.entries(states).map(([index, state]) => ({
       ...{ job: 'req-1', index: Number(index), attempt: 1, state, cause: '' },
     }));
-    const facts = { machine: 'm1', address: 'x', ...leased, noticeS: null };
-    return board.report(machine, { ...facts, session: 1, seq, token, tasks }, true).verdict;
+    return board.report(machine, { ...report('m1', seq), token, tasks }, true).verdict;
   };
   // Our token never comes back.
-  assert.equal(report(1, 3), 'unreconciled');
+  assert.equal(hear(1, 3), 'unreconciled');
   machine.introducedAt = 100;
   assert.equal(machine.deafSince(), 100);
-  assert.equal(report(2, 7), 'reconciled');
+  assert.equal(hear(2, 7), 'reconciled');
   assert.equal(machine.deafSince(), undefined);
   // A start that was ordered and does not show.
   const job = JobState.of(spec('req-1', 1), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
@@ -185,13 +219,13 @@
   task.phase = 'placed';
   assert.equal(machine.deafSince(), undefined);
   task.orderedAt = now = 500;
-  report(3, 7);
+  hear(3, 7);
   assert.equal(machine.deafSince(), 500);
   // Its task and its place in the team's usage stay until there is evidence.
   assert.deepEqual(
     [machine.tasks.has(taskKey({ job: 'req-1', index: 0 })), board.usage().of('red').cpus],
     [true, 2],
   );
-  report(4, 7, { 0: 'running' });
+  hear(4, 7, { 0: 'running' });
   assert.equal(machine.deafSince(), undefined);
 });
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -191,6 +191,7 @@
     const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => board.takeOff(task));
     // A job's record goes with its end, so its version says that the job is open, and placed as we know it.
     const jobs = new Map(shot.placing.map(({ job }) => [job, job.version]));
+    const attempts = new Map(shot.placing.map((task) => [task, task.attempt]));
     const open = [...jobs].map(([job, version]) => ({ key: jobKey(job.id), version }));
     const outcome = await commits.commit(
       [block, { key, version: page.version }, ...open],
@@ -200,7 +201,8 @@
     if (outcome.kind === 'applied') {
       page.version = outcome.revision;
       for (const task of shot.placing) {
-        if (task.phase !== 'placing') continue;
+        // Its machine may have gone meanwhile, and another been chosen, which this commit knows nothing of.
+        if (task.phase !== 'placing' || task.attempt !== attempts.get(task)) continue;
         task.phase = 'placed';
         board.machines.get(task.machine)?.wake?.();
       }
