--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
@@ -134,6 +135,8 @@
     const { settings, log, clock, mirror } = ports;
     const stop = new AbortController();
     const { signal } = stop;
+    // Every commit that waits for better times listens on it.
+    setMaxListeners(0, signal);
     const { valueBytes } = settings.state;
     const board = new Board({ block, valueBytes, reportMs: settings.reportMs, clock });
     board.load(mirror);
--- a/src/workers/silence.ts
+++ b/src/workers/silence.ts
@@ -7,16 +7,19 @@
 /**
  * Machines to be released because nothing is heard of them. One that falls silent among others that speak has most
  * likely died, hangs or was taken, and a release proves it. Where nearly a whole zone falls silent the network is
- * the likelier cause: its tasks may be running, so they are given until their leases have certainly run out.
+ * the likelier cause: its tasks may be running, so they are given until their leases have certainly run out. And one that
+ * has not spoken to us yet may still speak to the owner before us, which may be without the state service and the other
+ * controllers and keep its workers for as long as cancels allow.
  */
 export function silentMachines(
   machines: MachineState[],
   now: number,
-  settings: Pick<Settings, 'reportMs' | 'leaseMs'>,
+  settings: Pick<Settings, 'reportMs' | 'leaseMs' | 'cancelMs'>,
   silentReports: number,
 ): MachineState[] {
   const limit = settings.reportMs * silentReports;
   const leaseOver = settings.leaseMs + settings.reportMs;
+  const letGo = settings.cancelMs - settings.leaseMs + limit;
   // Machines that only the intents of an earlier term speak of count too: nothing else would ever prove them gone.
   const known = machines.filter((m) => m.seen || m.tasks.size > 0);
   const silentFor = (m: MachineState): number => now - m.lastSeen;
@@ -26,5 +29,8 @@
     return quiet > 2 && quiet > inZone.length * zoneShare;
   };
   const zones = new Map([...new Set(known.map((m) => m.place.zone))].map((zone) => [zone, cutOff(zone)]));
-  return known.filter((m) => silentFor(m) > (zones.get(m.place.zone) ? leaseOver : limit));
+  return known.filter((m) => {
+    if (!m.seen) return silentFor(m) > Math.max(letGo, limit);
+    return silentFor(m) > (zones.get(m.place.zone) ? leaseOver : limit);
+  });
 }
--- a/src/workers/workers.test.ts
+++ b/src/workers/workers.test.ts
@@ -2,6 +2,7 @@
 import { readdirSync } from 'node:fs';
 import { describe, test } from 'node:test';
 import { runTrace } from '../testing/traces.js';
+import type { Task } from '../placement/job-state.js';
 import { MachineState } from './machine-state.js';
 import { silentMachines } from './silence.js';
 
@@ -16,7 +17,7 @@
 });
 
 test('a silent machine among others is let go; a silent zone is given until its leases have run out', () => {
-  const times = { reportMs: 1000, leaseMs: 6000 };
+  const times = { reportMs: 1000, leaseMs: 6000, cancelMs: 16_000 };
   const machine = (id: string, zone: string, lastSeen: number): MachineState => {
     const state = new MachineState(id, lastSeen);
     state.place = { id, type: 'c8', zone, spot: false };
@@ -36,3 +37,14 @@
   assert.deepEqual(names(zone, 4000), []);
   assert.deepEqual(names(zone, 7150), ['m1', 'm2', 'm4']);
 });
+
+// Guards against releasing a whole block: its last owner was without the store and its peers, and kept its workers.
+test('a machine that has yet to report to its new owner is given as long as the one before may keep it', () => {
+  const times = { reportMs: 1000, leaseMs: 6000, cancelMs: 16_000 };
+  const state = new MachineState('m1', 0);
+  state.place = { id: 'm1', type: 'c8', zone: 'a', spot: false };
+  state.tasks.set('req-1/0', {} as Task);
+  const judged = (now: number): number => silentMachines([state], now, times, 3).length;
+  // cancel_s - lease_s, and then the three reports that any machine is given.
+  assert.deepEqual([judged(4000), judged(12_900), judged(13_100)], [0, 0, 1]);
+});
