--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -11,7 +11,7 @@
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
 import { type LeasedMachine, ladderKey, ladderRecord, leadKey, parseLadder } from '../wire/records.js';
-import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
+import { type Pool, buildPools, countDemand, isCheap, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
 import { Lack, Surplus } from './surplus.js';
@@ -176,9 +176,10 @@
     let entry = this.ladders.get(pool);
     if (!entry) {
       const moved = parseLadder(mirror.get(ladderKey(pool))?.value);
-      const { target, windowS } = operator.ladder;
+      const { target, windowS, slotShare, start, cheapStart } = operator.ladder;
+      const shape = { slotShare, start: isCheap(pool) ? cheapStart : start };
       entry = {
-        ladder: new Ladder(operator.ladder, moved),
+        ladder: new Ladder(shape, moved),
         tuner: new Tuner({ target, windowMs: windowS * 1000 }),
       };
       this.ladders.set(pool, entry);
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -8,6 +8,7 @@
   ladder: v.optional(
     v.strictObject({
       start: v.optional(share, 0.8),
+      cheapStart: v.optional(share, 0.92),
       target: v.optional(share, 0.01),
       slotShare: v.optional(share, 0.125),
       periodS: v.optional(ratio, 30),
