--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -140,6 +140,7 @@
       if (finding.kind === 'seen') {
         finding.task.phase = 'seen';
         finding.task.running = finding.running;
+        if (finding.running) finding.task.runningSince ??= now;
         if (finding.running && finding.task.job.spec) machine.images.add(finding.task.job.spec.image);
       } else if (finding.kind === 'completed') {
         const task = finding.job.tasks.get(finding.index);
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -18,6 +18,10 @@
   running: boolean;
   /** When its machine was first told to start it. */
   orderedAt: number | undefined;
+  /** When it was first seen running. */
+  runningSince: number | undefined;
+  /** To be stopped, since it runs far longer than its like: it starts again elsewhere. */
+  stopping: boolean;
 }
 
 export interface JobFacts {
@@ -63,6 +67,9 @@
   /** No task of the job is started before then: it has failed lately. */
   retryAt = 0;
   failures = 0;
+  /** Completed tasks that were seen running, and the longest that one of them ran. */
+  runs = 0;
+  longestRunMs = 0;
   private fresh = 0;
   private activeCount = 0;
 
@@ -195,6 +202,10 @@
     if (!this.holds(index) || this.isDone(index)) return false;
     const task = this.tasks.get(index);
     if (task && task.phase !== 'waiting') this.activeCount--;
+    if (task?.runningSince !== undefined) {
+      this.runs++;
+      this.longestRunMs = Math.max(this.longestRunMs, now - task.runningSince);
+    }
     this.tasks.delete(index);
     this.done.add(index);
     this.failures = 0;
@@ -268,6 +279,8 @@
         machine: '',
         running: false,
         orderedAt: undefined,
+        runningSince: undefined,
+        stopping: false,
       };
       this.tasks.set(index, task);
     }
@@ -279,5 +292,7 @@
     task.phase = phase;
     task.machine = machine;
     task.orderedAt = undefined;
+    task.runningSince = undefined;
+    task.stopping = false;
   }
 }
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type JobSpec, type Report, taskKey } from '../model/types.js';
+import { type JobSpec, type Order, type Report, type TaskState, taskKey } from '../model/types.js';
 import { silentLog } from '../base/log.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -11,6 +11,7 @@
 import { ledgerPage, tasksPerChunk } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
+import { stragglers } from '../workers/slowness.js';
 import { Board } from './board.js';
 import { Census } from './census.js';
 import { JobState, type Task } from './job-state.js';
@@ -229,3 +230,39 @@
   hear(4, 7, { 0: 'running' });
   assert.equal(machine.deafSince(), undefined);
 });
+
+// Guards against a job that waits minutes for its last task on a machine that is many times slower than its kind.
+test('a task that runs several times as long as its like is stopped, and its machine gets no more', () => {
+  let now = 0;
+  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now });
+  const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
+  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
+  const machine = board.machines.get('m1') as MachineState;
+  const job = JobState.of(spec('req-1', 4), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
+  job.assignRanges([{ block: 0, first: 0, count: 4 }], 1);
+  board.jobs.set('req-1', job);
+  placeAll(job, 'm1');
+  for (const task of job.tasks.values()) {
+    task.phase = 'placed';
+    board.put(task, machine);
+  }
+  const hear = (seq: number, states: TaskState[]): Order[] => {
+    const tasks = states.map((state, index) => ({
+      ...{ job: 'req-1', index, attempt: 1, state, cause: state === 'ended' ? 'done' : '' },
+    }));
+    return board.report(machine, { ...report('m1', seq), token: 7, tasks }, true).orders;
+  };
+  hear(1, ['running', 'running', 'running', 'running']);
+  now = 12_000;
+  hear(2, ['ended', 'ended', 'ended', 'running']);
+  // Three times the twelve seconds that the others took; the estimate of ten is shorter.
+  assert.deepEqual(stragglers(machine, 36_000), []);
+  const [slow] = stragglers(machine, 36_001);
+  assert.equal(slow?.index, 3);
+  slow.stopping = true;
+  const orders = hear(3, ['ended', 'ended', 'ended', 'running']);
+  assert.deepEqual(
+    orders.filter((order) => order.kind === 'stop').map((order) => order.index),
+    [3],
+  );
+});
--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -7,6 +7,7 @@
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
 import { silentMachines } from './silence.js';
+import { stragglers } from './slowness.js';
 
 export interface CustodyPorts {
   clock: Clock;
@@ -51,7 +52,7 @@
   }
 
   private judge(): void {
-    const { board, clock, settings, operator, types } = this.ports;
+    const { board, clock, settings, operator, types, log } = this.ports;
     const now = clock();
     const machines = [...board.machines.values()].filter((m) => m.releasing === '');
     for (const machine of machines) {
@@ -64,6 +65,11 @@
       if (deafSince !== undefined && now - deafSince > settings.reportMs * operator.workers.silentReports) {
         machine.releasing = 'deaf';
       }
+      for (const task of stragglers(machine, now)) {
+        task.stopping = true;
+        machine.faulty = true;
+        log.info({ event: 'slow', machine: machine.id, job: task.job.id, task: task.index }, 'far too slow');
+      }
       if (machine.faulty && machine.tasks.size === 0 && machine.strays.length === 0)
         machine.releasing = 'faulty';
     }
--- a/src/workers/reconcile.ts
+++ b/src/workers/reconcile.ts
@@ -69,7 +69,9 @@
   if (own) {
     if (own.state !== 'ended') {
       findings.push({ kind: 'seen', task, running: own.state === 'running' });
-      if (task.job.ended) orders.push({ kind: 'stop', ...ref, attempt: task.attempt, graceS: 0 });
+      const graceS = task.job.ended ? 0 : (task.job.spec?.saveS ?? 0);
+      if (task.job.ended || task.stopping)
+        orders.push({ kind: 'stop', ...ref, attempt: task.attempt, graceS });
     } else if (own.cause !== 'done') findings.push({ kind: 'left', task, cause: own.cause });
     return;
   }
