Revert: a slow commit holds back the next again

Tried: a group of operations that takes longer than a 25th of a report interval no longer holds back the next.

--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -1,5 +1,5 @@
 import { Writable } from 'node:stream';
-import { sleep, timer } from '../base/clock.js';
+import { sleep } from '../base/clock.js';
 import type { Settings } from '../settings/settings.js';
 import { sizeOf } from '../wire/codec.js';
 import type { Condition, Write } from '../wire/state.js';
@@ -16,17 +16,12 @@
 const transactionBytes = 60 * 1024;
 const conditionsPerOperation = 4;
 const mostRepeats = 5;
-/** How long a group holds back the next, in report intervals: many times what the service usually takes. */
-const patienceShare = 1 / 25;
-const mostUnderWay = 4;
 
 /**
  * Group commit: what arrives while one transaction is on its way goes out together in the next. The stream's
  * buffer is the stage's bound; a stage that is `full` holds back whoever feeds it.
  */
 export class CommitStage extends Writable {
-  private underWay = 0;
-
   constructor(
     private readonly client: Pick<StoreClient, 'commit'>,
     private readonly lane: Lane,
@@ -49,20 +44,10 @@
   }
 
   override _writev(chunks: { chunk: Operation }[], done: (error?: Error | null) => void): void {
-    const { settings } = this;
-    const flushed = this.flush(chunks.map((c) => c.chunk));
-    this.underWay++;
-    // The next group waits for this one, but not for one that is far slower than usual: operations do not depend on each
-    // other, and a slow answer must not hold back whoever came after.
-    const patience = timer(settings.reportMs * patienceShare);
-    const first = this.underWay < mostUnderWay ? Promise.race([flushed, patience.over]) : flushed;
-    void first
-      .finally(() => patience.cancel())
-      .then(
-        () => done(),
-        (error: unknown) => done(error instanceof Error ? error : new Error(String(error))),
-      );
-    void flushed.catch(() => undefined).finally(() => this.underWay--);
+    this.flush(chunks.map((c) => c.chunk)).then(
+      () => done(),
+      (error: unknown) => done(error instanceof Error ? error : new Error(String(error))),
+    );
   }
 
   private async flush(operations: Operation[]): Promise<void> {
