--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -2,10 +2,11 @@
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
 import { Census } from '../placement/census.js';
+import { byOrderOfWork } from '../placement/plan.js';
 import { testSettings } from '../testing/settings.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { parseMachineTypes } from '../wire/cloud.js';
-import type { BlockRecord, LeasedMachine } from '../wire/records.js';
+import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
 import { type LeaseFacts, nextBlocks } from './leasing.js';
 import { Rooms, mergeParts, undealt } from './rooms.js';
 import { nextShares } from './shares.js';
@@ -174,3 +175,24 @@
     parts[1],
   ]);
 });
+
+// Guards against the largest jobs being starved: they need room in many places, and small ones fit anywhere.
+test('a job of many tasks is dealt its room as it appears, before small jobs that came after it', () => {
+  const large = { spec: spec('req-1', 60, { acceptedAt: 0 }), parts: [] as Part[] };
+  const jobs = [large];
+  const dealt = (job: { parts: Part[] }): number => job.parts.reduce((sum, part) => sum + part.count, 0);
+  let round = 0;
+  for (; dealt(large) < 60 && round < 20; round++) {
+    // Every round all that ran has ended, and as many small jobs come as would fill the room.
+    for (let i = 0; i < 3; i++) {
+      const id = `req-${100 + round * 3 + i}`;
+      jobs.push({ spec: spec(id, 4, { acceptedAt: 1000 + round }), parts: [] });
+    }
+    const room = rooms();
+    for (const job of jobs.sort((a, b) => byOrderOfWork(a.spec, b.spec))) {
+      job.parts = room.deal(job.spec, job.parts) ?? job.parts;
+    }
+  }
+  // There is room for twelve tasks a round.
+  assert.equal(round, 5);
+});
--- a/src/controller.test.ts
+++ b/src/controller.test.ts
@@ -119,6 +119,34 @@
     );
   });
 
+  // Guards against jobs that stay unanswered once all troubles are over, and against two lives of one controller that lead.
+  test('after an outage in which all controllers restart at once, every accepted job is known everywhere and runs', async () => {
+    const ids = [0, 1, 2].map((i) => `req-00001${i}`);
+    for (const [i, id] of ids.entries()) await cluster.user(i, 'POST', '/v2/runs', submission(id, 4));
+    const before = cluster.store.value('lead');
+    cluster.store.down = true;
+    for (const label of ['keel-0', 'keel-1', 'keel-2']) {
+      cluster.stopController(label);
+      // Back within a fraction of a second, while the key of the life before still stands.
+      await new Promise((resolve) => setTimeout(resolve, 150));
+      cluster.startController(label);
+    }
+    cluster.store.down = false;
+    await cluster.until('every question is answered by every controller', async () => {
+      const asked = [0, 1, 2].flatMap((node) => ids.map((id) => cluster.status(node, id)));
+      return (await Promise.all(asked)).every((status) => !/^[45]/.test(status));
+    });
+    await cluster.until(
+      'all of them are done',
+      async () => {
+        const asked = ids.map((id, node) => cluster.status(node, id));
+        return (await Promise.all(asked)).every((status) => status === 'done');
+      },
+      20_000,
+    );
+    assert.notDeepEqual(cluster.store.value('lead'), before);
+  });
+
   test('through all of this no task was started twice at a time', () => {
     assert.deepEqual(cluster.violations, []);
     assert.equal(cluster.store.refusals, 0);
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -24,10 +24,6 @@
   return `${type}/${spot ? 'spot' : 'ordinary'}`;
 }
 
-export function isCheap(pool: string): boolean {
-  return pool.endsWith('/spot');
-}
-
 export function buildPools(
   types: Iterable<MachineType>,
   machines: Iterable<LeasedMachine>,
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -11,7 +11,7 @@
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
 import { type LeasedMachine, ladderKey, ladderRecord, leadKey, parseLadder } from '../wire/records.js';
-import { type Pool, buildPools, countDemand, isCheap, poolKey } from './demand.js';
+import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
 import { Lack, Surplus } from './surplus.js';
@@ -177,7 +177,7 @@
     if (!entry) {
       const moved = parseLadder(mirror.get(ladderKey(pool))?.value);
       const { target, windowS, slotShare, start, cheapStart } = operator.ladder;
-      const shape = { slotShare, start: isCheap(pool) ? cheapStart : start };
+      const shape = { slotShare, start: this.pools.get(pool)?.spot ? cheapStart : start };
       entry = {
         ladder: new Ladder(shape, moved),
         tuner: new Tuner({ target, windowMs: windowS * 1000 }),
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -200,10 +200,6 @@
     return true;
   }
 
-  async endGrant(id: number): Promise<void> {
-    await this.call('DELETE', grantPath(id), undefined);
-  }
-
   private async call(method: string, path: string, body: unknown, lane: Lane = 'duty'): Promise<Answer> {
     await sleep(this.requests[lane].reserve(1), this.signal);
     return this.send(method, path, body);
