--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -1,5 +1,5 @@
 import { performance } from 'node:perf_hooks';
-import { setTimeout as delay } from 'node:timers/promises';
+import { onAbort } from './aborts.js';
 
 /** Steady time in milliseconds. Injected everywhere a decision depends on time, so that traces replay. */
 export type Clock = () => number;
@@ -7,13 +7,18 @@
 export const steadyClock: Clock = () => performance.now();
 
 /** Waits, and returns early without an error when the signal fires: callers look at the signal themselves. */
-export async function sleep(ms: number, signal: AbortSignal): Promise<void> {
-  if (signal.aborted) return;
-  try {
-    await delay(ms, undefined, { signal });
-  } catch {
-    // The only way this rejects is the abort that the caller checks for.
-  }
+export function sleep(ms: number, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    const stop = onAbort(signal, () => {
+      clearTimeout(handle);
+      resolve();
+    });
+    const handle = setTimeout(() => {
+      stop();
+      resolve();
+    }, ms);
+  });
 }
 
 /** A deadline that others may wait for together with something else; `cancel` ends it without anybody's notice. */
--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'node:http';
 import { decode, encode } from '../wire/codec.js';
+import { onAbort } from './aborts.js';
 
 export interface Answer {
   status: number;
@@ -35,11 +36,11 @@
       const call = request({ host: this.host, port: this.port, method, path, headers, agent: this.agent });
       // The deadline covers the whole exchange, since a cut swallows packets without an error.
       const timer = setTimeout(() => call.destroy(new Error('no answer in time')), options.timeoutMs);
-      const onAbort = (): void => void call.destroy(new Error('cancelled'));
-      options.signal?.addEventListener('abort', onAbort, { once: true });
+      const stopListening =
+        options.signal && onAbort(options.signal, () => void call.destroy(new Error('cancelled')));
       const settle = (finish: () => void): void => {
         clearTimeout(timer);
-        options.signal?.removeEventListener('abort', onAbort);
+        stopListening?.();
         finish();
       };
       call.on('error', (error) => settle(() => reject(error)));
--- a/src/base/pacer.ts
+++ b/src/base/pacer.ts
@@ -28,9 +28,10 @@
     return this.level >= 0 ? 0 : (-this.level / this.rate) * 1000;
   }
 
-  /** How many milliseconds it takes until what has been spent is earned. */
-  owedMs(): number {
-    return this.reserve(0);
+  /** How many milliseconds it takes until what has been spent is earned, and so many units more are there. */
+  owedMs(left = 0): number {
+    this.refill();
+    return this.level >= left ? 0 : ((left - this.level) / this.rate) * 1000;
   }
 
   private refill(): void {
--- a/src/base/web.ts
+++ b/src/base/web.ts
@@ -1,4 +1,4 @@
-import { type Server, createServer } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import type { Readable } from 'node:stream';
 import Koa from 'koa';
 import { decode, encode } from '../wire/codec.js';
@@ -8,6 +8,8 @@
   status: number;
   body?: unknown;
   retryAfterS?: number;
+  /** The connection ends with this answer: its user is better off with another controller. */
+  close?: boolean;
 }
 
 export interface Route {
@@ -17,9 +19,20 @@
   handle: (body: unknown, params: string[]) => Reply | Promise<Reply>;
 }
 
+/**
+ * A route that Koa is not asked about, for what comes most often by far: reports and health checks. It answers through a
+ * call instead of a promise, so that the usual one is over within the turn that brought it.
+ */
+export interface LeanRoute {
+  method: 'GET' | 'POST';
+  path: string;
+  handle: (body: unknown, answer: (reply: Reply) => void) => void;
+}
+
 class TooLarge extends Error {}
 
 const bodyLimit = 64 * 1024;
+const notAllowed: Reply = { status: 405, body: { error: 'method not allowed' } };
 
 /** By events: there is a body for every report, and an iterator for each costs more than the reading. */
 function readBody(stream: Readable): Promise<Buffer> {
@@ -46,7 +59,7 @@
   const route = routes.find((r) => r.method === method && r.path.test(path));
   if (!route) {
     return routes.some((r) => r.path.test(path))
-      ? { status: 405, body: { error: 'method not allowed' } }
+      ? notAllowed
       : { status: 404, body: { error: 'no such path' } };
   }
   let body: unknown;
@@ -62,36 +75,84 @@
 }
 
 /** The HTTP face of a controller. Whatever arrives, the process stays up and the answer has its proper status. */
-export function createWebApp(routes: Route[], log: Log): Koa {
+export function createWebApp(routes: Route[], lean: LeanRoute[], log: Log): Koa {
   const app = new Koa();
   app.silent = true;
   app.use(async (ctx) => {
     let reply: Reply;
-    const headers: Record<string, string | number> = { 'Content-Type': 'application/msgpack' };
+    let close: boolean | undefined;
     try {
-      reply = await answer(routes, ctx.method, ctx.path, ctx.req);
+      // A lean route comes here only with another method than its own.
+      reply = lean.some((route) => route.path === ctx.path)
+        ? notAllowed
+        : await answer(routes, ctx.method, ctx.path, ctx.req);
     } catch (error) {
       if (error instanceof TooLarge) {
         // The rest of the body is not read, so the connection cannot be used again.
-        headers['Connection'] = 'close';
+        close = true;
         reply = { status: 413, body: { error: 'body over 64 KiB' } };
       } else {
         log.error({ event: 'request-failed', path: ctx.path, err: error }, 'request failed');
         reply = { status: 503, body: { error: 'trouble' }, retryAfterS: 1 };
       }
     }
-    if (reply.retryAfterS !== undefined) headers['Retry-After'] = Math.ceil(reply.retryAfterS);
-    const body = encode(reply.body ?? {});
-    headers['Content-Length'] = body.length;
-    // Always a short answer in one piece: written as it is, it takes a fraction of what the framework's own way takes.
     ctx.respond = false;
-    ctx.res.writeHead(reply.status, headers);
-    ctx.res.end(body);
+    send(ctx.res, reply, close);
   });
   return app;
 }
 
+/**
+ * Always a short answer in one piece: as text of one byte a character, head and body go out in one write, which takes a
+ * fraction of what the framework's own way takes.
+ */
+function send(response: ServerResponse, reply: Reply, close = reply.close === true): void {
+  const body = encode(reply.body ?? {});
+  const headers = ['Content-Type', 'application/msgpack', 'Content-Length', String(body.length)];
+  if (reply.retryAfterS !== undefined) headers.push('Retry-After', String(Math.ceil(reply.retryAfterS)));
+  if (close) headers.push('Connection', 'close');
+  // A date would cost a timer a second and is of use to nobody here.
+  response.sendDate = false;
+  response.writeHead(reply.status, headers);
+  response.end(body.toString('latin1'), 'latin1');
+}
+
+function serveLean(route: LeanRoute, request: IncomingMessage, response: ServerResponse, log: Log): void {
+  const answer = (reply: Reply, close?: boolean): void => {
+    if (!response.headersSent && !response.destroyed) send(response, reply, close);
+  };
+  const handle = (body: unknown): void => {
+    try {
+      route.handle(body, answer);
+    } catch (error) {
+      log.error({ event: 'request-failed', path: route.path, err: error }, 'request failed');
+      answer({ status: 503, body: { error: 'trouble' } });
+    }
+  };
+  if (route.method === 'GET') return handle(undefined);
+  let bytes: Buffer | undefined;
+  request.on('data', (chunk: Buffer) => {
+    bytes = bytes ? Buffer.concat([bytes, chunk]) : chunk;
+    if (bytes.length <= bodyLimit) return;
+    request.pause();
+    answer({ status: 413, body: { error: 'body over 64 KiB' } }, true);
+  });
+  request.on('end', () => {
+    let body: unknown;
+    try {
+      body = bytes && decode(bytes);
+    } catch {
+      return answer({ status: 400, body: { error: 'not MessagePack' } });
+    }
+    handle(body);
+  });
+  // A connection that is lost takes its report with it: the worker sends another.
+  request.on('error', () => undefined);
+}
+
 export interface ListenOptions {
+  lean: LeanRoute[];
+  log: Log;
   host: string;
   port: number;
   maxConnections: number;
@@ -101,7 +162,12 @@
 /** Serves until the signal fires; open connections are then closed. */
 export async function serveWeb(app: Koa, options: ListenOptions, signal: AbortSignal): Promise<void> {
   const handler = app.callback();
-  const server: Server = createServer((request, response) => void handler(request, response));
+  const lean = new Map(options.lean.map((route) => [`${route.method} ${route.path}`, route]));
+  const server: Server = createServer((request, response) => {
+    const route = lean.get(`${request.method} ${request.url}`);
+    if (route) serveLean(route, request, response, options.log);
+    else void handler(request, response);
+  });
   server.maxConnections = options.maxConnections;
   // Users poll every few seconds: closing a connection between two polls would cost them a failed request.
   server.keepAliveTimeout = options.idleMs;
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -5,7 +5,7 @@
 import type { Term } from '../leadership/term.js';
 import type { MachineType } from '../model/types.js';
 import { type Census, type CensusJob, needOf } from '../placement/census.js';
-import { byOrderOfWork } from '../placement/plan.js';
+import type { OrderOfWork } from '../placement/order.js';
 import type { Settings, Team } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -22,7 +22,7 @@
   leadKey,
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { Rooms, undealt } from './rooms.js';
+import { Rooms, undealt, undealtTasks } from './rooms.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import type { Registry } from './registry.js';
 import { type TeamDemand, nextShares } from './shares.js';
@@ -38,6 +38,8 @@
   registry: Registry;
   fleet: Fleet;
   term: Term;
+  order: OrderOfWork;
+  wallClock: () => number;
   types: () => ReadonlyMap<string, MachineType>;
   periodMs: number;
   boot: string;
@@ -47,6 +49,10 @@
 }
 
 const tickMs = 200;
+/** What is left over is dealt again after this part of a report interval. */
+const dealReports = 0.5;
+/** Jobs dealt at a time, as a share of the changes that the store takes in a second or a transaction. */
+const dealShare = 0.35;
 
 /** The leader's leasing of machines, of shares of the teams' limits, and of jobs too big for one block. */
 export class Landlord {
@@ -54,6 +60,9 @@
   private committed = 0;
   private sharesAt = -Infinity;
   private leasedAt = -Infinity;
+  private dealtAt = -Infinity;
+  /** Jobs that had tasks left when last there was dealing. */
+  private leftOver: ReadonlySet<string> = new Set();
   /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
   private readonly uncertain = new Map<number, number>();
   private readonly aliveSince = new Map<string, number>();
@@ -178,6 +187,8 @@
   /** Shares are leased for a period, and sooner only where work waits for want of one. */
   private shares(blocks: ReadonlyMap<number, BlockRecord>): Map<number, Shares> {
     const { settings, clock, periodMs } = this.ports;
+    const limited = [...settings.teams.values()].some((team) => team.cpusMax > 0 || team.acceleratorsMax > 0);
+    if (!limited) return new Map();
     const demand = this.teamDemand();
     const starved = [...blocks].some(([block, record]) =>
       [...settings.teams.values()].some((team) => isStarved(demand(block, team.name), record, team)),
@@ -194,7 +205,7 @@
   }
 
   private teamDemand(): (block: number, team: string) => TeamDemand {
-    const { census } = this.ports;
+    const { census, order, wallClock } = this.ports;
     const entries = new Map<string, TeamDemand>();
     const of = (block: number, team: string): TeamDemand => {
       const key = `${block}/${team}`;
@@ -207,7 +218,7 @@
       used[0] += page.cpus;
       used[1] += page.accelerators;
     }
-    for (const job of [...census.jobs.values()].sort((a, b) => byOrderOfWork(a.spec, b.spec))) {
+    for (const job of census.inOrder(order, wallClock())) {
       for (const { block, count } of census.waiting(job)) {
         if (block !== undefined && count > 0) {
           of(block, job.spec.team).waiting.push({ need: needOf(job.spec), count });
@@ -219,20 +230,38 @@
 
   /** Deals out what no block has yet, in the order of work. */
   private async dealJobs(): Promise<void> {
-    const { census, registry, types, lookahead, settings, up } = this.ports;
+    const { census, registry, types, lookahead, settings, up, order, wallClock } = this.ports;
     const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
-    if (open.length === 0) return;
+    const due = this.dueForDealing(open);
+    if (due.length === 0) return;
     const alive = (label: string): boolean => registry.isAlive(label);
     const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
+    rooms.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undealtTasks(parts, spec.tasks) })));
     const deals: Promise<void>[] = [];
-    for (const job of open.sort((a, b) => byOrderOfWork(a.spec, b.spec))) {
-      if (deals.length >= settings.state.txnOps / 2) break;
+    const most = Math.max(2, Math.min(settings.state.txnOps, settings.state.writeRps) * dealShare);
+    for (const job of census.inOrder(order, wallClock(), due)) {
+      if (deals.length >= most) break;
       const parts = rooms.deal(job.spec, job.parts);
       if (parts) deals.push(this.place(job, parts));
     }
     await Promise.all(deals);
   }
 
+  /**
+   * A job that has just come is dealt at once. What was left over before waits for room, which appears a task at a time:
+   * dealing each of them alone would take most of the changes that the store allows, and the blocks have work ahead.
+   */
+  private dueForDealing(open: CensusJob[]): CensusJob[] {
+    const { clock, settings } = this.ports;
+    const before = this.leftOver;
+    this.leftOver = new Set(open.map((job) => job.id));
+    if (clock() - this.dealtAt < settings.reportMs * dealReports) {
+      return open.filter((job) => !before.has(job.id));
+    }
+    this.dealtAt = clock();
+    return open;
+  }
+
   private async place(job: CensusJob, parts: Part[]): Promise<void> {
     const { commits, log } = this.ports;
     const outcome = await commits.commit(
--- a/src/blocks/registry.ts
+++ b/src/blocks/registry.ts
@@ -11,7 +11,7 @@
 export class Registry {
   private readonly parsed = new Map<string, Parsed>();
   private machineOwners = new Map<string, { block: number; machine: LeasedMachine; owner: string }>();
-  private ownersAt = -1;
+  private ownersAt = '';
 
   constructor(private readonly mirror: Mirror) {}
 
@@ -57,10 +57,13 @@
   }
 
   private owners(): Map<string, { block: number; machine: LeasedMachine; owner: string }> {
-    if (this.ownersAt !== this.mirror.revision) {
-      this.ownersAt = this.mirror.revision;
+    const blocks = this.blocks();
+    // Walking all machines is worth it only when a block has changed, which few changes of the copy are about.
+    const at = [...blocks.keys()].map((block) => `${block}:${this.version(block)}`).join(' ');
+    if (this.ownersAt !== at) {
+      this.ownersAt = at;
       this.machineOwners = new Map();
-      for (const [block, record] of this.blocks()) {
+      for (const [block, record] of blocks) {
         for (const machine of record.machines) {
           this.machineOwners.set(machine.id, { block, machine, owner: record.owner });
         }
--- a/src/blocks/rooms.ts
+++ b/src/blocks/rooms.ts
@@ -22,13 +22,15 @@
   lookahead: number;
 }
 
+/** What waits in a block at the most, as a share of its size, beside what it has room for. */
+const mostAhead = 1;
 const none: Resources = { cpus: 0, accelerators: 0, memoryGb: 0 };
 
 /** The blocks' room for jobs at one moment; what is dealt in the meantime is taken off it. */
 export class Rooms {
   private readonly used: ReadonlyMap<string, Resources>;
   /** Room by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
-  private readonly byKind = new Map<string, Room[]>();
+  private readonly byKind = new Map<string, (Room & { spot: boolean })[]>();
   /** CPUs of tasks that wait in a block, by the kind of machine that they wait for. */
   private readonly waitingCpus = new Map<string, number>();
 
@@ -53,7 +55,7 @@
     return rooms.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
   }
 
-  private measure(spec: JobSpec): Room[] {
+  private measure(spec: JobSpec): (Room & { spot: boolean })[] {
     const { blocks, alive, types, lookahead, up } = this.facts;
     const all = [...blocks];
     const served = all.filter(([, record]) => alive(record.owner));
@@ -75,10 +77,31 @@
           memoryGb: type.memoryGb - used.memoryGb,
         });
       }
-      return { block, free: free + size * lookahead, size };
+      return { block, free: free + size * lookahead, size, spot: spec.spot };
     });
   }
 
+  /**
+   * The more waits beyond what all blocks have room for, the more each is given ahead: there is work for all of them until
+   * it is done, and each deal is a change of the store.
+   */
+  deepen(backlog: Iterable<{ spec: JobSpec; tasks: number }>): void {
+    const waiting = new Map<boolean, number>();
+    const sizes = new Map<boolean, number>();
+    for (const { spec, tasks } of backlog) {
+      const size = this.of(spec).reduce((sum, room) => sum + room.size, 0);
+      waiting.set(spec.spot, (waiting.get(spec.spot) ?? 0) + tasks / Math.max(1, size));
+      sizes.set(spec.spot, size);
+    }
+    const { lookahead } = this.facts;
+    for (const kind of this.byKind.values()) {
+      for (const room of kind) {
+        const depth = Math.min(mostAhead, waiting.get(room.spot) ?? 0);
+        if (depth > lookahead) room.free += room.size * (depth - lookahead);
+      }
+    }
+  }
+
   take(spec: JobSpec, block: number, count: number): void {
     const key = kindKey(spec, block);
     this.waitingCpus.set(key, (this.waitingCpus.get(key) ?? 0) + count * spec.cpus);
@@ -159,6 +182,10 @@
   return gaps;
 }
 
+export function undealtTasks(parts: Part[], tasks: number): number {
+  return undealt(parts, tasks).reduce((sum, gap) => sum + gap.count, 0);
+}
+
 /** Joins neighbouring ranges of the same block; the order of the first stays, since its block asks for the end. */
 export function mergeParts(parts: Part[]): Part[] {
   const merged: Part[] = [];
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -6,7 +6,7 @@
 import type { MachineType } from '../model/types.js';
 import { Board } from '../placement/board.js';
 import type { Census } from '../placement/census.js';
-import type { Task } from '../placement/job-state.js';
+import type { OrderOfWork } from '../placement/order.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
@@ -22,6 +22,7 @@
 
 export interface TenancyPorts {
   clock: Clock;
+  wallClock: () => number;
   log: Log;
   settings: Settings;
   operator: OperatorSettings;
@@ -31,11 +32,23 @@
   census: Census;
   registry: Registry;
   cloud: CloudClient;
+  order: OrderOfWork;
   boot: string;
   signal: AbortSignal;
   types: () => ReadonlyMap<string, MachineType>;
 }
 
+/** Changes a second that a controller's share allows for each page that its round is spread over. */
+const changesPerPage = 8;
+
+/**
+ * Every page that changes is read by every controller, so small pages cost less where the store takes changes enough. Where
+ * it takes few, one page has to carry a whole round.
+ */
+export function pagesPerValue({ state, controllers }: Pick<Settings, 'state' | 'controllers'>): number {
+  return Math.min(8, Math.max(1, Math.floor(state.writeRps / controllers / changesPerPage)));
+}
+
 interface Tenure {
   board: Board;
   scheduler: Scheduler;
@@ -67,28 +80,6 @@
     return undefined;
   }
 
-  poke(): void {
-    for (const { scheduler } of this.tenures.values()) scheduler.poke();
-  }
-
-  placeNow(board: Board, machine: MachineState): void {
-    this.tenures.get(board.block)?.scheduler.placeNow(machine);
-  }
-
-  /** There is room on the machine, and it may be used. */
-  hasRoom(machine: MachineState): boolean {
-    const type = this.ports.types().get(machine.place.type);
-    const scheduler = this.find(machine.id)?.scheduler;
-    if (!type || !scheduler?.usable(machine)) return false;
-    const free = machine.free(type);
-    return free.cpus > 0 && free.memoryGb > 0;
-  }
-
-  /** Settles once it is known which of these tasks may start, or when the time is up. */
-  async decided(board: Board, tasks: () => Iterable<Task>, withinMs: number): Promise<void> {
-    await this.tenures.get(board.block)?.scheduler.decided(tasks, withinMs);
-  }
-
   /** Called after every batch of changes of the copy, which is where leases come and go. */
   follow(changes: Change[]): void {
     const { registry, settings, boot, signal } = this.ports;
@@ -96,8 +87,8 @@
     const blocks = registry.blocks();
     for (const [block, tenure] of this.tenures) {
       const record = blocks.get(block);
-      if (record?.owner === settings.label && record.boot === boot) tenure.board.apply(changes);
-      else this.end(block, tenure);
+      if (record?.owner !== settings.label || record.boot !== boot) this.end(block, tenure);
+      else if (tenure.board.apply(changes)) tenure.scheduler.poke();
     }
     for (const [block, record] of blocks) {
       if (record.owner !== settings.label) continue;
@@ -107,7 +98,8 @@
         continue;
       }
       const tenure = this.tenures.get(block) ?? this.begin(block);
-      if (tenure.board.version !== version) tenure.board.applyBlock(record, version);
+      if (tenure.board.version === version) continue;
+      tenure.board.applyBlock(record, version);
       tenure.scheduler.poke();
     }
   }
@@ -132,13 +124,22 @@
 
   private begin(block: number): Tenure {
     const { ports } = this;
-    const { settings, log, clock, mirror } = ports;
+    const { settings, log, clock, wallClock, mirror, order } = ports;
     const stop = new AbortController();
     const { signal } = stop;
     // Every commit that waits for better times listens on it.
     setMaxListeners(0, signal);
     const { valueBytes } = settings.state;
-    const board = new Board({ block, valueBytes, reportMs: settings.reportMs, clock });
+    const pageBytes = valueBytes / pagesPerValue(settings);
+    const board = new Board({
+      block,
+      valueBytes,
+      pageBytes,
+      reportMs: settings.reportMs,
+      clock,
+      wallClock,
+      order,
+    });
     board.load(mirror);
     const scheduler = new Scheduler({ ...ports, board, signal: stop.signal });
     const custody = new Custody({ ...ports, board, signal: stop.signal, onFreed: () => scheduler.poke() });
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -2,7 +2,7 @@
 import { setMaxListeners } from 'node:events';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { sleep, steadyClock } from './base/clock.js';
+import { type Clock, sleep, steadyClock } from './base/clock.js';
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { createWebApp, serveWeb } from './base/web.js';
@@ -13,13 +13,14 @@
 import { CloudClient } from './cloud/client.js';
 import { Intake } from './intake/intake.js';
 import { Fleet } from './ladder/fleet.js';
-import type { AnsweringFacts } from './leadership/answering.js';
+import { type AnsweringFacts, answerUntil, answeringMargin, peerIsServed } from './leadership/answering.js';
 import { Election } from './leadership/election.js';
 import { Membership } from './leadership/membership.js';
 import type { Term } from './leadership/term.js';
 import type { JobSpec, MachineType } from './model/types.js';
 import { PeerLinks, type PeerStatus, splitAddress } from './peers/links.js';
 import { Census } from './placement/census.js';
+import { OrderOfWork } from './placement/order.js';
 import type { OperatorSettings } from './settings/operator.js';
 import type { Settings } from './settings/settings.js';
 import { type Lane, StoreClient } from './store/client.js';
@@ -38,22 +39,49 @@
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
 const stageTransactions = { duty: 4, writes: 4, confirms: 8 };
 const socketShare = 0.8;
-const idleMs = 120_000;
+/** A connection that has been idle for so many leases is closed: users and workers alike speak several times in one. */
+const idleLeases = 2;
+/**
+ * An objective shorter than so many report intervals orders nothing: what has just come would always go before what has
+ * waited for a moment, and in a burst nearly everything would wait for its end.
+ */
+const tellingReports = 4;
+/** Without the store for this part of a grant's life, a controller sends users to those that have it. */
+const servingShare = 3;
 /** How long the peers are told of machines that have come up, or are proven gone. */
 const toldMs = 20_000;
 
+interface Parts {
+  clock: Clock;
+  wallClock: () => number;
+  log: Log;
+  settings: Settings;
+  operator: OperatorSettings;
+  boot: string;
+  types: () => ReadonlyMap<string, MachineType>;
+  store: StoreClient;
+  mirror: Mirror;
+  census: Census;
+  registry: Registry;
+  cloud: CloudClient;
+  /** Everything that is not a user's commits. */
+  commits: CommitStage;
+  order: OrderOfWork;
+}
+
 /** Wires the slices of one controller together. */
 export class Controller {
   private readonly clock = steadyClock;
   private readonly boot = randomUUID();
   private readonly types = new Map<string, MachineType>();
+  /** What most slices need; a term adds itself for what only a leader runs. */
+  private readonly parts: Parts;
+  private readonly stages: Record<Lane, CommitStage>;
   private readonly store: StoreClient;
   private readonly mirror: Mirror;
   private readonly census: Census;
   private readonly registry: Registry;
   private readonly cloud: CloudClient;
-  /** Everything that is not a user's commits. */
-  private readonly commits: CommitStage;
   private readonly tenancy: Tenancy;
   private readonly membership: Membership;
   private readonly election: Election;
@@ -64,6 +92,7 @@
   private readonly up = new Set<string>();
   private rooms: Rooms | undefined;
   private roomsAt = -Infinity;
+  private storeLoggedAt = -Infinity;
 
   constructor(
     private readonly settings: Settings,
@@ -81,22 +110,19 @@
     const cloud = new CloudClient(settings, clock, signal);
     const stage = (lane: Lane, transactions: number): CommitStage =>
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
-    const commits = stage('duty', stageTransactions.duty);
+    this.stages = {
+      duty: stage('duty', stageTransactions.duty),
+      intake: stage('intake', stageTransactions.writes),
+      confirm: stage('confirm', stageTransactions.confirms),
+    };
+    const commits = this.stages.duty;
     const types = (): ReadonlyMap<string, MachineType> => this.types;
     const shared = {
-      clock,
-      log,
-      settings,
-      operator,
-      store,
-      mirror,
-      census,
-      registry,
-      cloud,
-      commits,
-      boot,
-      types,
+      ...{ clock, wallClock: Date.now, log, settings, operator, boot, types },
+      ...{ store, mirror, census, registry, cloud, commits },
+      order: new OrderOfWork(settings.objectives, settings.reportMs * tellingReports),
     };
+    this.parts = shared;
     this.tenancy = new Tenancy({ ...shared, signal });
     this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
@@ -108,9 +134,8 @@
     });
     this.intake = new Intake({
       ...shared,
-      wallClock: Date.now,
-      writes: stage('intake', stageTransactions.writes),
-      confirms: stage('confirm', stageTransactions.confirms),
+      writes: this.stages.intake,
+      confirms: this.stages.confirm,
       isUp: () => this.isServing(),
       home: (spec) => this.home(spec),
     });
@@ -130,7 +155,6 @@
     this.census = census;
     this.registry = registry;
     this.cloud = cloud;
-    this.commits = commits;
     let loaded = false;
     mirror.listen((changes) => {
       if (loaded) census.apply(changes);
@@ -146,16 +170,17 @@
       ...{ clock, label: settings.label, tenancy: this.tenancy, registry: this.registry },
       leader: () => this.election.leader,
       storeFailing: () => store.failing,
-      answering: () => this.answeringFacts(),
-      grantTtlMs: this.membership.ttlMs,
+      mayAnswer: () => this.mayAnswer(),
       reportMs: settings.reportMs,
-      settleMs: settings.reportMs / 10,
+      settleMs: settings.reportMs / 4,
     });
-    const app = createWebApp([...this.intake.routes, desk.route], log);
+    const lean = [desk.route, this.intake.health];
+    const app = createWebApp(this.intake.routes, lean, log);
     const listen = {
       ...splitAddress(settings.serveOn),
+      ...{ lean, log },
       maxConnections: Math.floor(settings.quota.sockets * socketShare),
-      idleMs,
+      idleMs: settings.leaseMs * idleLeases,
     };
     log.info({ event: 'start', boot: this.boot, zone: settings.zone }, 'starting');
     await Promise.all([
@@ -171,35 +196,19 @@
 
   /** Everything that only a leader does, for as long as its term lasts. */
   private async lead(term: Term): Promise<void> {
-    const { settings, operator, log, clock, store, mirror, census, registry, cloud, commits, boot } = this;
+    const { operator, log, mirror, registry } = this;
     // The copy must hold all that earlier leaders committed.
     while (!term.signal.aborted && mirror.revision < term.token) await sleep(20, term.signal);
     if (term.signal.aborted) return;
-    const types = (): ReadonlyMap<string, MachineType> => this.types;
-    const shared = {
-      clock,
-      log,
-      settings,
-      operator,
-      store,
-      mirror,
-      census,
-      registry,
-      cloud,
-      commits,
-      term,
-      types,
-    };
+    const shared = { ...this.parts, term };
     const fleet = new Fleet({
       ...shared,
       firstEver: registry.blocks().size === 0,
-      wallClock: Date.now,
       leased: () => registry.machines(),
     });
     const landlord = new Landlord({
       ...shared,
       fleet,
-      boot,
       periodMs: operator.blocks.periodS * 1000,
       lookahead: operator.blocks.lookahead,
       up: (machine) => this.isUp(machine),
@@ -261,10 +270,22 @@
     }
   }
 
-  private answeringFacts(): AnsweringFacts {
+  /** Without the store we cannot know whom users were told is cancelled, so leases must run out in time. */
+  private mayAnswer(): boolean {
+    const { ttlMs } = this.membership;
+    const { cancelMs, leaseMs, reportMs } = this.settings;
+    // The usual case, asked for with every report: no word of any peer could shorten this.
+    const now = this.clock();
+    if (now - this.store.lastContact < Math.min(ttlMs, cancelMs - leaseMs - answeringMargin(reportMs)))
+      return true;
+    const facts = this.answeringFacts(now);
+    return now <= answerUntil(facts) && !peerIsServed(facts, ttlMs);
+  }
+
+  private answeringFacts(now: number): AnsweringFacts {
     const { cancelMs, leaseMs, reportMs } = this.settings;
     return {
-      now: this.clock(),
+      now,
       lastContact: this.store.lastContact,
       cancelMs,
       leaseMs,
@@ -279,7 +300,7 @@
    */
   private isServing(): boolean {
     if (!this.mirror.ready || this.types.size === 0) return false;
-    const limit = this.settings.reportMs;
+    const limit = this.membership.ttlMs / servingShare;
     if (this.store.contactAge(this.clock()) < limit) return true;
     return this.settings.peers.every(
       (peer) => (this.peers.word(peer.label)?.contactAge ?? Infinity) >= limit,
@@ -298,6 +319,22 @@
     store.setRole({ leading: election.term !== undefined, alive, machines: all > 0 ? own / all : 1 / alive });
   }
 
+  /** For the people on call: what the changes of the state service are spent on, once a period. */
+  private logStore(): void {
+    const { log, clock, operator, store, census } = this;
+    if (clock() - this.storeLoggedAt < operator.ladder.periodS * 1000) return;
+    this.storeLoggedAt = clock();
+    log.info({ event: 'store', ...store.takeCounts() }, 'changes of the state service');
+    const { duty, intake, confirm } = this.stages;
+    const queued = {
+      duty: duty.writableLength,
+      intake: intake.writableLength,
+      confirm: confirm.writableLength,
+    };
+    const heapMb = Math.round(process.memoryUsage().heapUsed / 2 ** 20);
+    log.info({ event: 'load', heapMb, queued, open: census.jobs.size }, 'memory and queues');
+  }
+
   private async followTypes(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       for (const type of await this.cloud.machineTypes()) this.types.set(type.name, type);
@@ -314,6 +351,7 @@
       this.tenancy.follow([]);
       for (const board of this.tenancy.boards()) this.noteUp(board.upSince(this.clock() - toldMs));
       this.shareStore();
+      this.logStore();
       await sleep(probeMs, signal);
     }
   }
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
-import type { Reply, Route } from '../base/web.js';
+import type { LeanRoute, Reply, Route } from '../base/web.js';
 import type { JobSpec, MachineType } from '../model/types.js';
 import type { Census } from '../placement/census.js';
 import type { Settings } from '../settings/settings.js';
@@ -45,6 +45,9 @@
 const cancelTries = 3;
 const retrySoonS = 1;
 const retryOverloadS = 3;
+/** A user waits 5 s for an answer and heeds a pause of up to 30 s. */
+const longestWaitMs = 2000;
+const retryLatestS = 20;
 
 /** What an outside answer rests on: the store's word, never the mirror's alone. */
 type Standing =
@@ -52,6 +55,7 @@
 
 export class Intake {
   private readonly cancels: RecentIds;
+  private readonly underWay = new Map<string, Promise<Reply>>();
 
   constructor(private readonly ports: IntakePorts) {
     this.cancels = new RecentIds(ports.settings.cancelMs, ports.clock);
@@ -61,30 +65,54 @@
     { method: 'POST', path: /^\/v2\/runs$/, handle: (body) => this.submit(body) },
     { method: 'GET', path: /^\/v2\/runs\/([^/]+)$/, handle: (_body, [id = '']) => this.query(id) },
     { method: 'POST', path: /^\/v2\/runs\/([^/]+)\/cancel$/, handle: (_body, [id = '']) => this.cancel(id) },
-    { method: 'GET', path: /^\/up$/, handle: () => ({ status: this.ports.isUp() ? 200 : 503 }) },
   ];
 
+  readonly health: LeanRoute = {
+    method: 'GET',
+    path: '/up',
+    handle: (_body, answer) => answer({ status: this.ports.isUp() ? 200 : 503 }),
+  };
+
   /** For the peers: a leader that has lost the store learns from them what users were told is cancelled. */
   recentlyCancelled(): string[] {
     return this.cancels.list();
   }
 
+  /**
+   * A repetition that comes while the first try is under way gets the same answer: another commit of the same job could
+   * only be in vain, and a queue that its own repetitions make longer never gets shorter.
+   */
   private async submit(body: unknown): Promise<Reply> {
-    const { mirror, settings, store, writes, types, wallClock } = this.ports;
-    const job = parseJob(body, wallClock());
+    const job = parseJob(body, this.ports.wallClock());
     if (typeof job === 'string') return { status: 400, body: { error: job } };
+    const known = this.underWay.get(job.id);
+    if (known) return known;
+    const reply = this.accept(job);
+    this.underWay.set(job.id, reply);
+    try {
+      return await reply;
+    } finally {
+      this.underWay.delete(job.id);
+    }
+  }
+
+  private async accept(job: JobSpec): Promise<Reply> {
+    const { mirror, settings, store, writes, types } = this.ports;
     if (mirror.version(jobKey(job.id)) > 0 || mirror.get(endKey(job.id))) return this.known(job.id);
-    if (types().size === 0 || !mirror.ready) return trouble('not ready');
+    if (types().size === 0 || !mirror.ready) return this.trouble('not ready');
     const impossible = whyImpossible(job, types().values(), settings.teams);
     if (impossible !== undefined) {
       // A repeated submission of an accepted job must never get 422, whatever the types are by now.
       const standing = await this.standing(job.id);
       if (standing.kind === 'none') return { status: 422, body: { error: impossible } };
-      return standing.kind === 'unsure' ? trouble('state service') : this.known(job.id);
+      return standing.kind === 'unsure' ? this.trouble('state service') : this.known(job.id);
     }
-    if (store.failing) return trouble('state service');
-    if (writes.full || this.openJobs() > settings.quota.memoryMb * openJobsPerMb) {
-      return { status: 429, body: { error: 'overloaded' }, retryAfterS: retryOverloadS };
+    if (store.failing) return this.trouble('state service');
+    // What would wait for longer than a user does is turned away at once, and told when its turn may come.
+    const waitMs = store.writeWaitMs('intake', writes.writableLength);
+    if (waitMs > longestWaitMs || writes.full || this.openJobs() > settings.quota.memoryMb * openJobsPerMb) {
+      const retryAfterS = Math.min(retryLatestS, Math.max(retryOverloadS, waitMs / 1000));
+      return { status: 429, body: { error: 'overloaded' }, retryAfterS };
     }
     const key = jobKey(job.id);
     const value = jobRecord({ spec: job, parts: this.ports.home(job) });
@@ -100,14 +128,14 @@
       return { status: 201, body: jobAnswer(job.id, 'pending') };
     }
     if (outcome.kind === 'conflict') return this.known(job.id);
-    return trouble('state service');
+    return this.trouble('state service');
   }
 
   private async known(id: string): Promise<Reply> {
     const standing = await this.standing(id);
     if (standing.kind === 'ended') return { status: 200, body: jobAnswer(id, standing.end) };
     if (standing.kind === 'open') return { status: 200, body: jobAnswer(id, this.progress(id).status) };
-    return trouble('state service');
+    return this.trouble('state service');
   }
 
   private async query(id: string): Promise<Reply> {
@@ -126,7 +154,7 @@
       case 'none':
         return { status: 404, body: { error: 'no such job' } };
       case 'unsure':
-        return trouble('state service');
+        return this.trouble('state service');
     }
   }
 
@@ -135,7 +163,7 @@
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     const ended = parseEnd(mirror.get(endKey(id))?.value);
     if (ended) return { status: 200, body: jobAnswer(id, ended.end) };
-    if (store.failing) return trouble('state service');
+    if (store.failing) return this.trouble('state service');
     // Cancels keep their room: they are taken even where submissions no longer are. The leader may deal the job anew
     // meanwhile, which gives its record a new version, so that is read and tried again before the user has to.
     let known = mirror.get(jobKey(id));
@@ -144,7 +172,7 @@
         try {
           known = await store.read(jobKey(id), 'intake');
         } catch {
-          return trouble('state service');
+          return this.trouble('state service');
         }
       }
       if (!known) break;
@@ -161,7 +189,7 @@
         mirror.learnEnd(endKey(id), { value, version: outcome.revision });
         return { status: 200, body: jobAnswer(id, 'cancelled') };
       }
-      if (outcome.kind !== 'conflict') return trouble('state service');
+      if (outcome.kind !== 'conflict') return this.trouble('state service');
       if (outcome.failed.includes(endKey(id))) break;
       known = undefined;
     }
@@ -172,7 +200,7 @@
     }
     return standing.kind === 'none'
       ? { status: 404, body: { error: 'no such job' } }
-      : trouble('state service');
+      : this.trouble('state service');
   }
 
   /**
@@ -208,11 +236,12 @@
     return { status: active > 0 ? 'running' : 'pending', done, running: active };
   }
 
+  /** Where another controller could have answered, the user is sent to it by ending the connection. */
+  private trouble(error: string): Reply {
+    return { status: 503, body: { error }, retryAfterS: retrySoonS, close: !this.ports.isUp() };
+  }
+
   private openJobs(): number {
     return this.ports.mirror.size;
   }
 }
-
-function trouble(error: string): Reply {
-  return { status: 503, body: { error }, retryAfterS: retrySoonS };
-}
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -1,6 +1,7 @@
 import { type JobSpec, type MachineType, type Resources, fits, withinLimit } from '../model/types.js';
 import { type Census, type CensusJob, needOf } from '../placement/census.js';
-import { byOrderOfWork, Usage } from '../placement/plan.js';
+import type { OrderOfWork } from '../placement/order.js';
+import { Usage } from '../placement/plan.js';
 import type { Team } from '../settings/settings.js';
 import type { LeasedMachine } from '../wire/records.js';
 import { type LadderShape, slotsOf, slotsPerMachine } from './ladder.js';
@@ -66,6 +67,9 @@
 
 export interface DemandFacts {
   census: Census;
+  order: OrderOfWork;
+  /** The time of day. */
+  now: number;
   machines: ReadonlyMap<string, LeasedMachine>;
   pools: ReadonlyMap<string, Pool>;
   teams: ReadonlyMap<string, Team>;
@@ -82,8 +86,9 @@
     const pool = machine && pools.get(poolKey(machine.type, machine.spot));
     if (pool) pool.counted += slotsOf(page, pool.type, shape);
   }
-  const waiting = [...census.jobs.values()].sort((a, b) => byOrderOfWork(a.spec, b.spec));
-  for (const job of waiting) {
+  // The order decides only who is admitted below a limit.
+  const limited = [...facts.teams.values()].some((team) => team.cpusMax > 0 || team.acceleratorsMax > 0);
+  for (const job of limited ? census.inOrder(facts.order, facts.now) : census.jobs.values()) {
     const need = needOf(job.spec);
     let left = admitted(job, facts, usage);
     usage.add(job.spec.team, need, left);
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -6,6 +6,7 @@
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
 import type { Census } from '../placement/census.js';
+import type { OrderOfWork } from '../placement/order.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -26,6 +27,7 @@
   operator: OperatorSettings;
   cloud: CloudClient;
   census: Census;
+  order: OrderOfWork;
   mirror: Mirror;
   commits: CommitStage;
   term: Term;
@@ -36,7 +38,9 @@
   leased: () => ReadonlyMap<string, LeasedMachine>;
 }
 
-const tickMs = 1000;
+/** The ladder is looked at so often in a report interval: what it counts comes with reports. */
+const looksPerReport = 2;
+const leastTickMs = 1000;
 /** A machine that is given back earlier is charged for this long all the same. */
 const minimumChargeMs = 60_000;
 const gonesKept = 2000;
@@ -58,6 +62,7 @@
   private readonly surplus = new Surplus();
   private readonly lack: Lack;
   private readonly witness: Witness;
+  private readonly tickMs: number;
   private tunedAt: number;
   private loggedAt = -Infinity;
   private readonly refusals: Refusals;
@@ -67,6 +72,7 @@
   constructor(private readonly ports: FleetPorts) {
     this.lack = new Lack(ports.operator.ladder);
     this.witness = new Witness(ports.settings.reportMs);
+    this.tickMs = Math.max(leastTickMs, ports.settings.reportMs / looksPerReport);
     this.tunedAt = ports.clock();
     this.refusals = new Refusals(ports.settings.cloud.listLagMs * 2);
   }
@@ -101,7 +107,7 @@
     const { cloud, settings, term } = this.ports;
     while (!term.signal.aborted) {
       this.applyList(await cloud.listMachines());
-      await sleep(Math.max(tickMs * 2, settings.cloud.listLagMs / 2), term.signal);
+      await sleep(Math.max(this.tickMs * 2, settings.cloud.listLagMs / 2), term.signal);
     }
   }
 
@@ -133,7 +139,7 @@
       const patience = firstEver ? 0 : settings.cloud.listLagMs;
       const informed = clock() - term.startedAt > patience && this.listedAt > term.startedAt;
       if (informed && this.ports.types().size > 0) await this.step();
-      await sleep(tickMs, term.signal);
+      await sleep(this.tickMs, term.signal);
     }
   }
 
@@ -144,7 +150,7 @@
   }
 
   private async step(): Promise<void> {
-    const { types, settings, operator, clock, census } = this.ports;
+    const { types, settings, operator, clock, wallClock, census, order } = this.ports;
     const now = clock();
     const machines = this.machines();
     for (const id of this.fresh.keys()) if (this.ports.leased().has(id)) this.fresh.delete(id);
@@ -154,7 +160,15 @@
       (machine) => this.unwanted.has(machine.id) || this.lost.has(machine.id),
       (type, spot) => type.zones.every((zone) => this.refusals.refused(type.name, zone, spot, now)),
     );
-    countDemand({ census, machines, pools, teams: settings.teams, shape: operator.ladder });
+    countDemand({
+      census,
+      order,
+      now: wallClock(),
+      machines,
+      pools,
+      teams: settings.teams,
+      shape: operator.ladder,
+    });
     this.pools = pools;
     this.logPools(now);
     for (const { pool, outcome } of this.witness.observe(census, pools, machines, now)) {
@@ -304,7 +318,7 @@
   private async keepReleasing(): Promise<void> {
     const { cloud, term, log, census } = this.ports;
     while (!term.signal.aborted) {
-      await sleep(tickMs / 2, term.signal);
+      await sleep(this.tickMs / 2, term.signal);
       const busy = census.loads();
       const leased = this.ports.leased();
       const due = [...this.unwanted, ...this.lost].filter((id) => {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -9,7 +9,7 @@
 import type { PeerWord } from '../leadership/answering.js';
 import type { Settings } from '../settings/settings.js';
 
-/** What a controller tells the others of itself, twice a second. */
+/** What a controller tells the others of itself, several times in a report interval. */
 export interface PeerStatus {
   from: string;
   boot: string;
@@ -43,8 +43,12 @@
   onStatus: (status: PeerStatus) => void;
 }
 
-const statusEveryMs = 500;
+/** Statuses in a report interval: what they date decides on tens of seconds. */
+const statusesPerReport = 4;
+const leastStatusMs = 500;
 const remembered = 120;
+/** A link that has been silent for so many statuses is dead; its sender dials again. */
+const silentStatuses = 20;
 
 /**
  * Links between controllers. Each status echoes the last serial number heard from its receiver, which dates it: a
@@ -56,7 +60,11 @@
   private readonly heard = new Map<string, Heard>();
   private readonly words = new Map<string, PeerWord>();
 
-  constructor(private readonly ports: PeerPorts) {}
+  private readonly everyMs: number;
+
+  constructor(private readonly ports: PeerPorts) {
+    this.everyMs = Math.max(leastStatusMs, ports.settings.reportMs / statusesPerReport);
+  }
 
   word(label: string): PeerWord | undefined {
     return this.words.get(label);
@@ -100,7 +108,7 @@
           signal,
           log,
           (s) => this.dial(peer.label, peer.address, s),
-          statusEveryMs,
+          this.everyMs,
         ),
       ),
     ]);
@@ -118,8 +126,7 @@
   }
 
   private async listenTo(socket: Socket, signal: AbortSignal): Promise<void> {
-    // A link that has been silent for a while is dead; its sender dials again.
-    socket.setTimeout(statusEveryMs * 20, () => socket.destroy());
+    socket.setTimeout(this.everyMs * silentStatuses, () => socket.destroy());
     const handle = new Writable({
       objectMode: true,
       write: (status: PeerStatus, _encoding, done) => {
@@ -136,7 +143,7 @@
   private async dial(label: string, address: string, signal: AbortSignal): Promise<void> {
     const { host, port } = splitAddress(address);
     const socket = createConnection({ host, port });
-    socket.setTimeout(statusEveryMs * 20, () => socket.destroy());
+    socket.setTimeout(this.everyMs * silentStatuses, () => socket.destroy());
     try {
       const statuses = Readable.from(this.statuses(label, socket, signal), {
         objectMode: true,
@@ -154,7 +161,7 @@
     while (!signal.aborted) {
       // Nothing new is queued behind a cut: the peer would get it late and in bulk.
       if (socket.writableLength < 4096) yield this.compose(label);
-      await sleep(statusEveryMs, signal);
+      await sleep(this.everyMs, signal);
     }
   }
 }
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../base/clock.js';
-import { type Report, taskKey } from '../model/types.js';
+import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 import type { Mirror } from '../store/mirror.js';
 import {
@@ -18,19 +18,26 @@
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
 import { JobState, type JobFacts, type Task } from './job-state.js';
 import { Ledger } from './ledger.js';
+import { OrderOfWork, type Queued } from './order.js';
 import { Usage } from './plan.js';
 
 export interface BoardOptions {
   block: number;
   valueBytes: number;
+  /** How large a page of the ledger may be; a value of the store where this is not given. */
+  pageBytes?: number;
   reportMs: number;
   clock: Clock;
+  wallClock?: () => number;
+  order?: OrderOfWork;
 }
 
 /** Causes that speak against the machine or the job, rather than being our own doing. */
 const failures = new Set(['error']);
 const longestPauseMs = 60_000;
 const faultyAfterJobs = 2;
+/** The order of work is looked at again after this part of a report interval: it changes with time alone. */
+const sortedReports = 0.25;
 const gonesKept = 2000;
 
 /** All that a block's owner knows of its jobs and machines, rebuilt from the store when the lease begins. */
@@ -42,12 +49,16 @@
   private readonly gone = new Map<string, number>();
   /** Machines with tasks that they should not have: their teams are charged for them all the same. */
   private readonly withStrays = new Set<MachineState>();
+  private waiting: JobState[] | undefined;
+  private sortedAt = -Infinity;
+  private readonly order: OrderOfWork;
   readonly ledger: Ledger;
   private blockVersion = 0;
   private shares: Shares = {};
 
   constructor(private readonly options: BoardOptions) {
-    this.ledger = new Ledger(options.valueBytes);
+    this.order = options.order ?? new OrderOfWork([]);
+    this.ledger = new Ledger(options.pageBytes ?? options.valueBytes);
   }
 
   get block(): number {
@@ -90,24 +101,49 @@
     }
   }
 
-  /** Follows what the other controllers commit: new jobs, their parts, cancels. Pages are written by us only. */
-  apply(changes: Change[]): void {
+  /**
+   * Follows what the other controllers commit: new jobs, their parts, cancels. Pages are written by us only. True: it
+   * concerns this block.
+   */
+  apply(changes: Change[]): boolean {
+    let concerned = false;
     for (const change of changes) {
+      let job: JobState | undefined;
       if (change.deleted) {
         // The record goes with the end of the job, and after a gap in the watch it may be all that we get to see.
         if (!change.key.startsWith('job/')) continue;
-        const job = this.jobs.get(change.key.slice('job/'.length));
+        job = this.jobs.get(change.key.slice('job/'.length));
         if (job) this.endJob(job, 'cancelled');
-      } else if (change.key.startsWith('job/')) this.setJob(change.key, change.value, change.version);
-      else if (change.key.startsWith('end/')) {
+      } else if (change.key.startsWith('job/')) {
+        job = this.setJob(change.key, change.value, change.version);
+      } else if (change.key.startsWith('end/')) {
         const end = parseEnd(change.value);
-        const job = this.jobs.get(change.key.slice('end/'.length));
+        job = this.jobs.get(change.key.slice('end/'.length));
         if (job && end) this.endJob(job, end.end);
       }
+      concerned ||= job !== undefined;
     }
+    return concerned;
+  }
+
+  /** Open jobs with waiting tasks, in the order of work. Nearly every report asks, so it is kept for a while. */
+  waitingJobs(): JobState[] {
+    const { clock, wallClock, reportMs } = this.options;
+    if (this.waiting && clock() - this.sortedAt < reportMs * sortedReports) return this.waiting;
+    const open = [...this.jobs.values()].flatMap((job) =>
+      job.waiting > 0 && job.spec ? [{ job, spec: job.spec }] : [],
+    );
+    const queued = ({ job, spec }: { job: JobState; spec: JobSpec }): Queued => ({
+      ...{ spec, waiting: job.waiting },
+      started: job.active + job.doneCount > 0,
+    });
+    this.waiting = this.order.sorted(open, queued, (wallClock ?? Date.now)()).map(({ job }) => job);
+    this.sortedAt = clock();
+    return this.waiting;
   }
 
   endJob(job: JobState, end: 'done' | 'cancelled'): void {
+    this.waiting = undefined;
     job.ended ??= end;
     this.withdraw(job);
     for (const task of job.tasks.values()) this.machines.get(task.machine)?.wake?.();
@@ -169,6 +205,7 @@
   }
 
   takeOff(task: Task): void {
+    this.waiting = undefined;
     this.machines.get(task.machine)?.tasks.delete(taskKey(refOf(task)));
     task.job.giveBack(task, this.options.clock());
   }
@@ -235,22 +272,24 @@
     return machine;
   }
 
-  private setJob(key: string, value: unknown, version: number): void {
+  private setJob(key: string, value: unknown, version: number): JobState | undefined {
     const record = parseJobRecord(value);
-    if (!record || key !== `job/${record.spec.id}`) return;
+    if (!record || key !== `job/${record.spec.id}`) return undefined;
     const { spec, parts } = record;
     const { block } = this;
     let job = this.jobs.get(spec.id);
     if (!job) {
-      if (!parts.some((part) => part.block === block)) return;
+      if (!parts.some((part) => part.block === block)) return undefined;
       job = JobState.of(spec, version, this.place);
       this.jobs.set(spec.id, job);
     }
+    this.waiting = undefined;
     job.assignRanges(parts, version);
     // Ranges that the leader took back had not started; intents for them that are under way will fail.
     for (const task of [...job.tasks.values()]) {
       if (task.phase === 'placing' && !job.holds(task.index)) this.takeOff(task);
     }
+    return job;
   }
 
   private addPage(key: string, value: unknown, version: number): void {
@@ -270,7 +309,7 @@
 
   private get place(): Pick<JobFacts, 'block' | 'perChunk' | 'ledger'> {
     const { block, ledger } = this;
-    return { block, ledger, perChunk: tasksPerChunk(this.options.valueBytes) };
+    return { block, ledger, perChunk: tasksPerChunk(this.options.pageBytes ?? this.options.valueBytes) };
   }
 }
 
--- a/src/placement/census.ts
+++ b/src/placement/census.ts
@@ -9,6 +9,7 @@
   rangesSize,
 } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
+import type { OrderOfWork, Queued } from './order.js';
 
 /** What a block has on record of a job. */
 export interface CensusEntry extends LedgerEntry {
@@ -30,6 +31,8 @@
   /** Entries by job; those of an ended job stay until its tasks have left their machines. */
   private readonly byJob = new Map<string, Set<CensusEntry>>();
   private loadsNow: Map<string, Resources> | undefined;
+  /** Pages that have changed since anybody asked: of several versions only the last has to be read. */
+  private readonly unread = new Map<string, unknown>();
 
   constructor(private readonly clock: () => number) {}
 
@@ -37,6 +40,7 @@
     this.jobs.clear();
     this.pages.clear();
     this.byJob.clear();
+    this.unread.clear();
     this.loadsNow = undefined;
     for (const [key, entry] of mirror.below('job/')) this.set(key, entry.value, entry.version);
     for (const [key, entry] of mirror.below('run/')) this.set(key, entry.value, entry.version);
@@ -46,15 +50,17 @@
     for (const change of changes) {
       if (!change.deleted) this.set(change.key, change.value, change.version);
       else if (change.key.startsWith('job/')) this.jobs.delete(change.key.slice('job/'.length));
-      else if (change.key.startsWith('run/')) this.setPage(change.key, []);
+      else if (change.key.startsWith('run/')) this.unread.set(change.key, undefined);
     }
   }
 
   entries(id: string): Iterable<CensusEntry> {
+    this.read();
     return this.byJob.get(id) ?? [];
   }
 
   *activeTasks(): Iterable<{ id: string; page: CensusEntry; machine: string }> {
+    this.read();
     for (const entries of this.pages.values()) {
       for (const page of entries)
         for (const [, , machine] of page.active) yield { id: page.id, page, machine };
@@ -63,6 +69,7 @@
 
   /** What the tasks on each machine take of it; machines without any are not in it. */
   loads(): ReadonlyMap<string, Resources> {
+    this.read();
     if (this.loadsNow) return this.loadsNow;
     const loads = new Map<string, Resources>();
     for (const { page, machine } of this.activeTasks()) {
@@ -90,6 +97,15 @@
     return { done, active };
   }
 
+  /** Open jobs in the order of work, or those of them that are given. */
+  inOrder(order: OrderOfWork, now: number, jobs: Iterable<CensusJob> = this.jobs.values()): CensusJob[] {
+    const queued = ({ id, spec }: CensusJob): Queued => {
+      const { done, active } = this.progress(id);
+      return { spec, waiting: spec.tasks - done - active, started: done + active > 0 };
+    };
+    return order.sorted(jobs, queued, now);
+  }
+
   /** Waiting tasks of the job by block; those that are not dealt yet belong to none. */
   waiting(job: CensusJob): { block: number | undefined; count: number }[] {
     const dealt = new Map<number, number>();
@@ -115,13 +131,18 @@
       this.jobs.set(id, { ...record, id, version, seenAt: this.jobs.get(id)?.seenAt ?? this.clock() });
       return;
     }
-    const at = parseLedgerKey(key);
-    if (!at) return;
-    const { block } = at;
-    this.setPage(
-      key,
-      parseLedgerPage(value).map((e) => ({ ...e, block, doneCount: rangesSize(e.done) })),
-    );
+    if (key.startsWith('run/')) this.unread.set(key, value);
+  }
+
+  private read(): void {
+    for (const [key, value] of this.unread) {
+      const block = parseLedgerKey(key)?.block ?? -1;
+      this.setPage(
+        key,
+        parseLedgerPage(value).map((e) => ({ ...e, block, doneCount: rangesSize(e.done) })),
+      );
+    }
+    this.unread.clear();
   }
 
   private setPage(key: string, entries: CensusEntry[]): void {
--- a/src/placement/ledger.ts
+++ b/src/placement/ledger.ts
@@ -1,4 +1,4 @@
-import { type LedgerEntry, entryBytes } from '../wire/records.js';
+import { type LedgerEntry, entryBytes, writtenBytes } from '../wire/records.js';
 import type { JobState, Task } from './job-state.js';
 
 /** `soon`: what changed can also be learned from the workers again. `now`: something waits for the commit. */
@@ -38,6 +38,8 @@
 
 export interface PageSnapshot {
   entries: LedgerEntry[];
+  /** What they take at the most: measuring them each time would cost more than writing them. */
+  bytes: number;
   placing: Task[];
   done: { job: JobState; indices: number[] }[];
 }
@@ -49,7 +51,19 @@
 export class Ledger {
   readonly pages = new Map<number, LedgerPage>();
 
-  constructor(private readonly valueBytes: number) {}
+  constructor(private readonly pageBytes: number) {}
+
+  /** Something waits for its commit. */
+  get presses(): boolean {
+    for (const page of this.pages.values()) if (page.dirt === 'now' && !page.busy) return true;
+    return false;
+  }
+
+  /** Something is to be written down. */
+  get isSoiled(): boolean {
+    for (const page of this.pages.values()) if (page.dirt !== 'clean') return true;
+    return false;
+  }
 
   page(index: number): LedgerPage {
     let page = this.pages.get(index);
@@ -68,7 +82,7 @@
   }
 
   private withRoom(bytes: number): LedgerPage {
-    for (const page of this.pages.values()) if (page.bytes + bytes <= this.valueBytes) return page;
+    for (const page of this.pages.values()) if (page.bytes + bytes <= this.pageBytes) return page;
     let index = 0;
     while (this.pages.has(index)) index++;
     return this.page(index);
@@ -80,7 +94,7 @@
  * can be conditioned on so many jobs only: tasks of further ones are taken off, to be placed again.
  */
 export function snapshot(page: LedgerPage, mostJobs: number, takeOff: (task: Task) => void): PageSnapshot {
-  const shot: PageSnapshot = { entries: [], placing: [], done: [] };
+  const shot: PageSnapshot = { entries: [], bytes: 0, placing: [], done: [] };
   const jobs = new Set<JobState>();
   for (const chunk of page.chunks) {
     const { job } = chunk;
@@ -96,6 +110,7 @@
       if (done.length > 0) shot.done.push({ job, indices: done });
     }
     shot.entries.push(chunk.entry);
+    shot.bytes += writtenBytes(chunk.entry);
   }
   return shot;
 }
--- /dev/null
+++ b/src/placement/order.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec } from '../model/types.js';
+import { OrderOfWork, type Queued } from './order.js';
+
+const objectives = [
+  { kind: 'wait', jobClass: 'quick', share: 0.9, withinS: 60, times: undefined },
+  { kind: 'deadline', jobClass: 'due', share: 0.9, withinS: undefined, times: 1 },
+];
+
+function queued(id: string, waiting: number, acceptedS: number, change: Partial<JobSpec> = {}): Queued {
+  const spec = {
+    ...{ id, jobClass: 'quick', urgency: 'high', tasks: waiting, estimateS: 10, deadlineS: null },
+    acceptedAt: acceptedS * 1000,
+    ...change,
+  } as JobSpec;
+  return { spec, waiting, started: false };
+}
+
+function ids(jobs: Queued[], nowS: number): string[] {
+  return new OrderOfWork(objectives).sorted(jobs, (job) => job, nowS * 1000).map(({ spec }) => spec.id);
+}
+
+// Guards against a burst that makes every job late: in the order of arrival all of them wait for the backlog.
+test('small jobs come before large ones, and a large one has its turn before its objective has passed', () => {
+  const large = queued('req-1', 90, 0);
+  const small = (acceptedS: number): Queued => queued('req-2', 10, acceptedS);
+  assert.deepEqual(ids([large, small(1)], 2), ['req-2', 'req-1']);
+  assert.deepEqual(ids([large, small(50)], 50), ['req-1', 'req-2']);
+});
+
+test('what can still meet an objective comes before what cannot, and what has waited for minutes before both', () => {
+  const late = queued('req-1', 5, 0);
+  const fresh = queued('req-2', 50, 80);
+  assert.deepEqual(ids([late, fresh], 81), ['req-2', 'req-1']);
+  assert.deepEqual(ids([late, queued('req-2', 50, 150)], 151), ['req-1', 'req-2']);
+});
+
+test('urgency decides first, then the time that a deadline leaves', () => {
+  const urgent = queued('req-3', 50, 0);
+  const soon = queued('req-1', 4, 0, { urgency: 'standard', jobClass: 'due', deadlineS: 40 });
+  const later = queued('req-2', 4, 0, { urgency: 'standard', jobClass: 'due', deadlineS: 90 });
+  assert.deepEqual(ids([later, soon, urgent], 1), ['req-3', 'req-1', 'req-2']);
+});
+
+// Guards against the last to come being served first: on a busy day half of the jobs waited for the end of the burst.
+test('an objective of a few seconds does not put what has just come before what has waited for a moment', () => {
+  const quick = [
+    { ...objectives[0], kind: 'wait', jobClass: 'quick', withinS: 4 } as (typeof objectives)[number],
+  ];
+  const jobs = [queued('req-1', 20, 0), queued('req-2', 20, 8)];
+  const sorted = new OrderOfWork([...quick, ...objectives], 16_000).sorted(jobs, (job) => job, 9000);
+  assert.deepEqual(
+    sorted.map(({ spec }) => spec.id),
+    ['req-1', 'req-2'],
+  );
+});
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -1,18 +1,12 @@
-import {
-  type JobSpec,
-  type MachineType,
-  type Resources,
-  type Urgency,
-  fits,
-  withinLimit,
-} from '../model/types.js';
+import { type JobSpec, type MachineType, type Resources, fits, withinLimit } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 import type { MachineState } from '../workers/machine-state.js';
 import type { JobState, Task } from './job-state.js';
 
 export interface PlanFacts {
   now: number;
-  jobs: Iterable<JobState>;
+  /** With waiting tasks, in the order of work. */
+  jobs: JobState[];
   machines: Iterable<MachineState>;
   /** Types of which the block has cheap machines, with room or without. */
   cheap: ReadonlySet<string>;
@@ -21,7 +15,7 @@
   types: ReadonlyMap<string, MachineType>;
   /** The team with what this block may use of its limits. */
   team: (name: string) => Team | undefined;
-  usage: Usage;
+  usage: () => Usage;
   /** How many tasks may be placed at most: what one round of commits can carry. */
   most: number;
   usable: (machine: MachineState) => boolean;
@@ -61,20 +55,6 @@
   }
 }
 
-const ranks: Record<Urgency, number> = { production: 0, high: 1, standard: 2, best_effort: 3 };
-
-/** More urgent first; among equals, whoever must start soonest to meet its deadline, then the oldest. */
-export function byOrderOfWork(x: JobSpec, y: JobSpec): number {
-  const age = x.id < y.id ? -1 : x.id > y.id ? 1 : 0;
-  return ranks[x.urgency] - ranks[y.urgency] || latestStart(x) - latestStart(y) || age;
-}
-
-function latestStart(spec: JobSpec): number {
-  // Work without a deadline counts as due when its estimate has passed once over.
-  const dueS = spec.deadlineS ?? spec.estimateS;
-  return spec.acceptedAt + (dueS - spec.estimateS) * 1000;
-}
-
 interface Room {
   machine: MachineState;
   free: Resources;
@@ -83,7 +63,7 @@
 /** First-fit: each waiting task, in the order of work, goes to the first machine that has room for it. */
 export function plan(facts: PlanFacts): Choice[] {
   const choices: Choice[] = [];
-  const waiting = [...facts.jobs]
+  const waiting = facts.jobs
     .filter(
       (job) =>
         job.waiting > 0 &&
@@ -96,7 +76,6 @@
     .filter((entry): entry is { job: JobState; spec: JobSpec } => entry.spec !== undefined);
   // Most rounds have nothing to place, and there is one for nearly every report.
   if (waiting.length === 0) return choices;
-  waiting.sort((a, b) => byOrderOfWork(a.spec, b.spec));
   const least = leastOf(waiting.map(({ job }) => job.need));
   const usable = [...facts.machines]
     .filter(facts.usable)
@@ -106,6 +85,8 @@
     .map((m) => ({ ...m, free: m.machine.free(m.type) }))
     .filter(({ free }) => fits(least, free))
     .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
+  if (rooms.length === 0) return choices;
+  const usage = facts.usage();
   for (const { job, spec } of waiting) {
     const team = facts.team(job.team);
     const zones = zonesInUse(job, facts.machines);
@@ -123,7 +104,7 @@
     candidates = quickestFirst(candidates, spec.image);
     let left = job.waiting;
     let at = 0;
-    while (left > 0 && choices.length < facts.most && facts.usage.admits(team, job.need)) {
+    while (left > 0 && choices.length < facts.most && usage.admits(team, job.need)) {
       const suits = ({ machine, free }: Room): boolean =>
         fits(job.need, free) &&
         (!spec.spread || (zones.get(machine.place.zone) ?? 0) < half) &&
@@ -137,7 +118,7 @@
       room.free.cpus -= job.need.cpus;
       room.free.accelerators -= job.need.accelerators;
       room.free.memoryGb -= job.need.memoryGb;
-      facts.usage.add(job.team, job.need);
+      usage.add(job.team, job.need);
       zones.set(room.machine.place.zone, (zones.get(room.machine.place.zone) ?? 0) + 1);
       choices.push({ task, machine: room.machine });
       left--;
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../base/clock.js';
+import { onAbort } from '../base/aborts.js';
 import { sleep, timer } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { MachineType } from '../model/types.js';
@@ -27,7 +28,10 @@
   types: () => ReadonlyMap<string, MachineType>;
 }
 
+/** What is asked for within this time is looked at together. */
 const tickMs = 100;
+/** A round comes so often in a report interval in any case: machines and pauses become usable with time alone. */
+const roundsPerReport = 4;
 /** Placements of one round, as a multiple of the writes that fit a transaction. */
 const roundTransactions = 8;
 /** A controller's even share of the changes of so long is what gathering completions may cost at most. */
@@ -38,6 +42,8 @@
 /** Places waiting tasks and keeps the store in step with the board, intents first. */
 export class Scheduler {
   private wanted = true;
+  /** Set while the rounds rest: something that presses calls it. */
+  private wake: (() => void) | undefined;
   private rejectedVersion = -1;
   /** Types of the block's usable cheap machines, as of the last whole round. */
   private cheap: ReadonlySet<string> = new Set();
@@ -53,13 +59,24 @@
   /** Something changed that may let a task start. */
   poke(): void {
     this.wanted = true;
+    this.wake?.();
   }
 
   /** A round at once for one machine, whose answer can carry its starts. */
   placeNow(machine: MachineState): void {
-    if (this.ports.signal.aborted || this.ports.store.failing) return;
-    this.place([machine]);
-    this.persist();
+    const { signal, store, board } = this.ports;
+    if (signal.aborted || store.failing) return;
+    if (board.waitingJobs().length > 0 && this.hasRoom(machine)) this.place([machine]);
+    // What the report said is written down once it is due; most reports say nothing new.
+    if (board.ledger.isSoiled) this.persist();
+  }
+
+  /** There is room on the machine, and it may be used. */
+  hasRoom(machine: MachineState): boolean {
+    const type = this.ports.types().get(machine.place.type);
+    if (!type || !this.usable(machine)) return false;
+    const free = machine.free(type);
+    return free.cpus > 0 && free.memoryGb > 0;
   }
 
   /** Settles once it is known which of the tasks that are being placed may start, or when the time is up. */
@@ -95,27 +112,49 @@
   }
 
   async run(): Promise<void> {
-    const { signal, store } = this.ports;
-    let rounds = 0;
+    const { signal, store, board, settings, clock } = this.ports;
+    const restMs = settings.reportMs / roundsPerReport;
+    let placedAt = -Infinity;
     while (!signal.aborted) {
       await sleep(tickMs, signal);
+      if (!this.wanted) await this.rest(this.due(restMs));
       if (signal.aborted) return;
-      // Machines and pauses become usable with time alone, so a round comes once a second in any case.
-      if ((this.wanted || rounds++ % 10 === 0) && !store.failing) {
+      if ((this.wanted || clock() - placedAt >= restMs) && !store.failing) {
         this.wanted = false;
-        this.place();
+        placedAt = clock();
+        if (board.waitingJobs().length > 0) this.place();
       }
       this.endJobs();
       this.persist();
     }
   }
 
+  /** Until the next round is due: sooner where intents wait for their turn, or completions are being gathered. */
+  private due(restMs: number): number {
+    const { board, store } = this.ports;
+    const waitMs = Math.max(tickMs, store.writeWaitMs('duty'));
+    if (board.ledger.presses && !store.failing) return Math.min(restMs, waitMs);
+    return board.ledger.isSoiled ? Math.min(restMs, this.gatherMs / 2) : restMs;
+  }
+
+  private async rest(ms: number): Promise<void> {
+    const over = timer(ms);
+    const stopListening = onAbort(this.ports.signal, () => this.wake?.());
+    const woken = new Promise<void>((resolve) => {
+      this.wake = resolve;
+    });
+    await Promise.race([over.over, woken]);
+    over.cancel();
+    stopListening();
+    this.wake = undefined;
+  }
+
   private place(machines?: MachineState[]): void {
     const { board, clock, settings, types } = this.ports;
     if (!machines) this.cheap = this.cheapTypes();
     const choices = plan({
       now: clock(),
-      jobs: board.jobs.values(),
+      jobs: board.waitingJobs(),
       machines: machines ?? board.machines.values(),
       cheap: this.cheap,
       partial: machines !== undefined,
@@ -124,7 +163,7 @@
         const team = settings.teams.get(name);
         return team && board.limitsOf(team);
       },
-      usage: board.usage(),
+      usage: () => board.usage(),
       most: settings.state.txnOps * roundTransactions,
       usable: (machine) => this.usable(machine),
     });
@@ -142,7 +181,7 @@
    */
   private mayCommit(): boolean {
     const { board, store } = this.ports;
-    return board.version !== this.rejectedVersion && store.mayWrite('duty');
+    return board.version !== this.rejectedVersion && store.writeWaitMs('duty') === 0;
   }
 
   private persist(): void {
@@ -196,6 +235,7 @@
     const outcome = await commits.commit(
       [block, { key, version: page.version }, ...open],
       [{ put: key, value: ledgerPage(shot.entries) }],
+      shot.bytes,
     );
     page.busy = false;
     if (outcome.kind === 'applied') {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -3,6 +3,7 @@
 import { type Answer, HttpPeer } from '../base/http.js';
 import { Pacer } from '../base/pacer.js';
 import type { Settings } from '../settings/settings.js';
+import { Stretch } from './stretch.js';
 import {
   type Change,
   type Condition,
@@ -19,6 +20,7 @@
   parseList,
   parseRead,
   watchPath,
+  writtenKey,
 } from '../wire/state.js';
 
 /**
@@ -45,14 +47,19 @@
 /** Shares of the limits, which hold for all controllers together; the whole stays below them. */
 const shares = {
   requests: { intake: 0.12, confirm: 0.23, leader: 0.08, duty: 0.32 },
-  writes: { intake: 0.18, confirm: 0.01, leader: 0.14, duty: 0.62 },
+  /** Changes are shared by whoever needs them: what users submit goes first, and never takes more than its part. */
+  writes: { leader: 0.14, even: 0.37, byMachines: 0.43, mostForIntake: 0.5 },
 };
-/** Of the duties' share, what goes to all evenly; the rest goes by the machines that each has. */
+/** Of the duties' requests, what goes to all evenly; the rest goes by the machines that each has. */
 const evenShare = 0.3;
+/** Changes that the duties leave for the next submission. */
+const keptForIntake = 2;
 /** What watches take of the requests: each that returns with changes is followed by another. */
 const watchShare = 0.2;
 const burstShare = 0.5;
 const leastWatchGapMs = 200;
+/** Nor need they be closer than this part of a report interval: starts and reports wait for no watch. */
+const watchGapReports = 0.1;
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
 const listPage = 500;
@@ -61,7 +68,11 @@
   private readonly peer: HttpPeer;
   private readonly watchPeer: HttpPeer;
   private readonly requests: Record<Lane, Pacer>;
-  private readonly writes: Record<Lane, Pacer>;
+  private readonly writes: Pacer;
+  private readonly intakeWrites: Pacer;
+  private role = { leading: false, alive: 1, machines: 0 };
+  private readonly stretch: Stretch;
+  private counts: { changes: Record<string, number>; refused: number } = { changes: {}, refused: 0 };
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -72,13 +83,14 @@
   ) {
     this.peer = new HttpPeer(settings.stateAddress, 6);
     this.watchPeer = new HttpPeer(settings.stateAddress, 1);
-    const pacers = (): Record<Lane, Pacer> => ({
+    this.requests = {
       intake: new Pacer(1, 1, clock),
       confirm: new Pacer(1, 1, clock),
       duty: new Pacer(1, 1, clock),
-    });
-    this.requests = pacers();
-    this.writes = pacers();
+    };
+    this.stretch = new Stretch(clock());
+    this.writes = new Pacer(1, 1, clock);
+    this.intakeWrites = new Pacer(1, 1, clock);
     this.contactAt = clock() - settings.cancelMs;
     const { controllers } = settings;
     this.setRole({ leading: false, alive: controllers, machines: 1 / controllers });
@@ -89,24 +101,30 @@
    * of all machines that it has.
    */
   setRole(role: { leading: boolean; alive: number; machines: number }): void {
+    this.role = role;
     const { state, controllers } = this.settings;
     const sharing = Math.min(controllers, Math.max(1, role.alive));
     const weight = evenShare / sharing + (1 - evenShare) * role.machines;
-    const set = (pacers: Record<Lane, Pacer>, rate: number, share: (typeof shares)['writes']): void => {
-      const burst = Math.max(2, rate * burstShare);
-      pacers.intake.setRate((rate * share.intake) / sharing, burst);
-      pacers.confirm.setRate((rate * share.confirm) / sharing, burst);
-      // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
-      pacers.duty.setRate(rate * (share.duty * weight + (role.leading ? share.leader : 0)), burst);
-    };
-    set(this.requests, state.rps, shares.requests);
-    set(this.writes, state.writeRps, shares.writes);
+    const { requests, writes } = shares;
+    // Bursts seldom meet; where they do, the service refuses one of them, and it is repeated.
+    const burst = Math.max(2, state.rps * burstShare);
+    this.requests.intake.setRate((state.rps * requests.intake) / sharing, burst);
+    this.requests.confirm.setRate((state.rps * requests.confirm) / sharing, burst);
+    const leader = role.leading ? requests.leader : 0;
+    this.requests.duty.setRate(state.rps * (requests.duty * weight + leader), burst);
+    const share =
+      writes.even / sharing + writes.byMachines * role.machines + (role.leading ? writes.leader : 0);
+    const rate = state.writeRps * Math.min(1, share * this.stretch.factor);
+    const writeBurst = Math.max(keptForIntake * 2, state.writeRps * burstShare);
+    this.writes.setRate(rate, writeBurst);
+    this.intakeWrites.setRate(rate * writes.mostForIntake, writeBurst);
   }
 
   /** The pause between two watches that keeps all controllers' watches within their share. */
   get watchGapMs(): number {
     const { state, controllers } = this.settings;
-    return Math.max(leastWatchGapMs, (controllers * 1000) / (state.rps * watchShare));
+    const share = (controllers * 1000) / (state.rps * watchShare);
+    return Math.max(leastWatchGapMs, this.settings.reportMs * watchGapReports, share);
   }
 
   /** When the last request that was served had been sent; what was true then is all that we know. */
@@ -158,17 +176,31 @@
     return parseChanges(answer.body);
   }
 
-  /** A commit would go out at once. */
-  mayWrite(lane: Lane): boolean {
-    return this.writes[lane].owedMs() === 0;
+  /** Changes asked for since this was last called, by the kind of key, and how many commits the service refused. */
+  takeCounts(): { changes: Record<string, number>; refused: number } {
+    const { counts } = this;
+    this.counts = { changes: {}, refused: 0 };
+    return counts;
+  }
+
+  /** How long a commit of this lane would wait for its turn; `ahead` is what goes out before it. */
+  writeWaitMs(lane: Lane, ahead = 0): number {
+    if (lane === 'duty') return this.writes.owedMs(keptForIntake);
+    return Math.max(this.writes.owedMs(ahead), this.intakeWrites.owedMs(ahead));
   }
 
   async commit(lane: Lane, conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
     // Waits for what was spent before and spends ahead: a commit that waited for its own changes to be earned would
     // be out of date by the time it went.
+    let waited = false;
     if (writes.length > 0) {
-      await sleep(this.writes[lane].owedMs(), this.signal);
-      this.writes[lane].reserve(writes.length);
+      for (let waitMs = this.writeWaitMs(lane); waitMs > 0; waitMs = this.writeWaitMs(lane)) {
+        waited ||= lane === 'intake';
+        await sleep(waitMs, this.signal);
+        if (this.signal.aborted) return { kind: 'refused', busy: false };
+      }
+      this.writes.reserve(writes.length);
+      if (lane === 'intake') this.intakeWrites.reserve(writes.length);
     }
     let answer: Answer;
     try {
@@ -176,6 +208,13 @@
     } catch {
       return { kind: 'unknown' };
     }
+    const refused = answer.status === 429;
+    if (refused) this.counts.refused++;
+    for (const write of writes) {
+      const root = writtenKey(write).split('/', 1)[0] ?? '';
+      this.counts.changes[root] = (this.counts.changes[root] ?? 0) + 1;
+    }
+    if (writes.length > 0 && this.stretch.note({ refused, waited }, this.clock())) this.setRole(this.role);
     if (answer.status === 200) return { kind: 'applied', revision: parseCommit(answer.body).revision };
     if (answer.status === 409) return { kind: 'conflict', ...parseCommit(answer.body) };
     if (answer.status === 400) return { kind: 'malformed' };
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -2,7 +2,7 @@
 import { sleep } from '../base/clock.js';
 import type { Settings } from '../settings/settings.js';
 import { sizeOf } from '../wire/codec.js';
-import type { Condition, Write } from '../wire/state.js';
+import { type Condition, type Write, writtenKey } from '../wire/state.js';
 import type { CommitOutcome, Lane, StoreClient } from './client.js';
 
 interface Operation {
@@ -14,6 +14,8 @@
 
 // Room left in a transaction for its own framing.
 const transactionBytes = 60 * 1024;
+/** Worst case of a key with its version, in the JSON form that limits are measured in. */
+const bytesPerKey = 64;
 const conditionsPerOperation = 4;
 const mostRepeats = 5;
 
@@ -36,9 +38,11 @@
     return this.writableLength >= this.writableHighWaterMark;
   }
 
-  commit(conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
+  /** `valueBytes`: what the values take at the most, where that is known without measuring them. */
+  commit(conditions: Condition[], writes: Write[], valueBytes?: number): Promise<CommitOutcome> {
     return new Promise((settle) => {
-      const bytes = sizeOf(conditions) + sizeOf(writes);
+      const framing = bytesPerKey * (conditions.length + writes.length);
+      const bytes = framing + (valueBytes ?? (writes.length > 0 ? sizeOf(writes) : 0));
       this.write({ conditions, writes, bytes, settle } satisfies Operation);
     });
   }
@@ -61,7 +65,8 @@
       const { batch, rest } = takeBatch(queue, this.settings.state.txnOps);
       const outcome = await this.client.commit(
         this.lane,
-        batch.flatMap((o) => o.conditions),
+        // The service counts every condition that it is sent, also one that several operations share.
+        [...new Map(batch.flatMap((o) => o.conditions).map((c) => [c.key, c])).values()],
         batch.flatMap((o) => o.writes),
       );
       if (outcome.kind === 'refused' && outcome.busy && repeats++ < mostRepeats) {
@@ -123,7 +128,3 @@
   }
   return { batch, rest };
 }
-
-export function writtenKey(write: Write): string {
-  return 'drop' in write ? write.drop : write.put;
-}
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -5,6 +5,7 @@
 import type { CommitOutcome } from './client.js';
 import { CommitStage, takeBatch } from './commit-stage.js';
 import { Mirror } from './mirror.js';
+import { Stretch } from './stretch.js';
 
 const never = new AbortController().signal;
 
@@ -133,3 +134,37 @@
   await mirror.follow(stop.signal);
   assert.deepEqual(heard, ['+job/b', '-job/a']);
 });
+
+// Guards against submissions that wait behind a fixed share while the others leave theirs unused.
+test('a share grows while its controller has to wait and nothing is refused, and halves with a refusal', () => {
+  const stretch = new Stretch(0);
+  const after = (outcome: { refused: boolean; waited: boolean }, times: number, from: number): number => {
+    for (let i = 1; i <= times; i++) stretch.note(outcome, from + i * 1000);
+    return stretch.factor;
+  };
+  assert.equal(after({ refused: false, waited: false }, 5, 0), 1);
+  assert.equal(after({ refused: false, waited: true }, 2, 5000), 2);
+  assert.equal(after({ refused: false, waited: true }, 60, 9000), 4);
+  assert.equal(after({ refused: false, waited: false }, 10, 69_000).toFixed(1), '3.0');
+  assert.equal(after({ refused: false, waited: true }, 2, 79_000).toFixed(1), '4.0');
+  assert.equal(after({ refused: true, waited: true }, 1, 81_000).toFixed(1), '2.0');
+  assert.equal(after({ refused: true, waited: false }, 9, 82_000), 1);
+});
+
+// Guards against a block that stands still: the service called transactions malformed that named the block four times.
+test('a condition that several operations share is sent once', async () => {
+  const sent: string[][] = [];
+  const { stage } = stageWith((conditions) => {
+    sent.push(conditions.map((c) => c.key));
+    return { kind: 'applied', revision: 5 };
+  });
+  const block = { key: 'block/0', version: 3 };
+  const pages = ['run/0/0', 'run/0/1', 'run/0/2'].map((key) =>
+    stage.commit([block, { key, version: 1 }], [{ put: key, value: 1 }]),
+  );
+  await Promise.all(pages);
+  assert.deepEqual(sent, [
+    ['block/0', 'run/0/0'],
+    ['block/0', 'run/0/1', 'run/0/2'],
+  ]);
+});
--- /dev/null
+++ b/src/store/stretch.ts
@@ -0,0 +1,31 @@
+/** How fast a share grows while it is too small, and shrinks while it is not, and how large it may get. */
+const growth = { aSecond: 0.5, back: 0.1, most: 4 };
+
+/**
+ * How far a controller goes beyond its even share of the store's limits. The others seldom need all of theirs at the same
+ * time, and nobody tells how much they leave: as long as the service refuses nothing, who keeps users waiting takes more,
+ * and each refusal halves what was taken. What the duties write can be gathered, so that they wait is no reason.
+ */
+export class Stretch {
+  private at: number;
+  private value = 1;
+
+  constructor(now: number) {
+    this.at = now;
+  }
+
+  get factor(): number {
+    return this.value;
+  }
+
+  /** After a commit; true: the factor has changed. */
+  note(outcome: { refused: boolean; waited: boolean }, now: number): boolean {
+    const passedS = Math.min(1, (now - this.at) / 1000);
+    const before = this.value;
+    if (outcome.refused) this.value = Math.max(1, this.value / 2);
+    else if (outcome.waited) this.value = Math.min(growth.most, this.value + growth.aSecond * passedS);
+    else this.value = Math.max(1, this.value - growth.back * passedS);
+    this.at = now;
+    return this.value !== before;
+  }
+}
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -215,6 +215,11 @@
   return bytesPerEntry + tasks * bytesPerTask;
 }
 
+/** What an entry takes as it stands, at the most. */
+export function writtenBytes({ active, waiting, done }: LedgerEntry): number {
+  return bytesPerEntry + (active.length + waiting.length + done.length) * bytesPerTask;
+}
+
 export function toRanges(sorted: Iterable<number>): number[] {
   const ranges: number[] = [];
   for (const n of sorted) {
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -8,6 +8,10 @@
 
 export type Write = { put: string; value: unknown; lease?: number } | { drop: string };
 
+export function writtenKey(write: Write): string {
+  return 'drop' in write ? write.drop : write.put;
+}
+
 export interface Item {
   key: string;
   value: unknown;
--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -22,7 +22,8 @@
   onFreed: () => void;
 }
 
-const tickMs = 500;
+/** Machines are judged so often in a report interval. */
+const looksPerReport = 3;
 
 /**
  * The owner's care for the machines of its block: it lets go of those that are silent, never came up, or fail the
@@ -32,7 +33,7 @@
   constructor(private readonly ports: CustodyPorts) {}
 
   async run(): Promise<void> {
-    const { board, cloud, signal, log, onFreed } = this.ports;
+    const { board, cloud, signal, log, onFreed, settings } = this.ports;
     while (!signal.aborted) {
       this.judge();
       const due = [...board.machines.values()].filter((m) => m.releasing !== '').slice(0, releaseLimit);
@@ -47,7 +48,7 @@
         }
         onFreed();
       }
-      await sleep(tickMs, signal);
+      await sleep(settings.reportMs / looksPerReport, signal);
     }
   }
 
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -1,13 +1,26 @@
 import type { Clock } from '../base/clock.js';
-import type { Reply, Route } from '../base/web.js';
+import type { LeanRoute, Reply } from '../base/web.js';
 import type { Registry } from '../blocks/registry.js';
 import type { Tenancy } from '../blocks/tenancy.js';
 import { type Order, taskKey } from '../model/types.js';
 import type { Task } from '../placement/job-state.js';
-import { type AnsweringFacts, answerUntil, peerIsServed } from '../leadership/answering.js';
+import type { Scheduler } from '../placement/scheduler.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
+import { Holds } from './holds.js';
 import type { MachineState } from './machine-state.js';
 
+/** One report on its way to its answer. */
+interface Visit {
+  machine: MachineState;
+  answer: Answer;
+  now: number;
+  token: number;
+  seq: number;
+  orders: Order[];
+  /** Tasks that the machine had, or may have had, when the report was read. */
+  before: Task[];
+}
+
 export interface DeskPorts {
   clock: Clock;
   label: string;
@@ -15,8 +28,8 @@
   registry: Registry;
   leader: () => string | undefined;
   storeFailing: () => boolean;
-  answering: () => AnsweringFacts;
-  grantTtlMs: number;
+  /** Workers may be answered: we know, or our peers do, whom users were told is cancelled. */
+  mayAnswer: () => boolean;
   reportMs: number;
   /** How long an answer may wait for the commit of what it is to start. */
   settleMs: number;
@@ -24,55 +37,53 @@
 
 /** How long an answer is held where there is room, in report intervals: well below the 4 s that workers wait. */
 const holdShares = { empty: 0.5, busy: 0.25 };
+/** Held answers are looked at so many times in the shortest time that one is held. */
+const looksPerHold = 4;
 /** Finished tasks are left in a worker's reports for so many report intervals if nothing else is to be said. */
 const tidyReports = 2;
 
+type Answer = (reply: Reply) => void;
+
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
 export class WorkerDesk {
-  constructor(private readonly ports: DeskPorts) {}
+  private readonly holds: Holds;
+
+  constructor(private readonly ports: DeskPorts) {
+    this.holds = new Holds(ports.clock, (ports.reportMs * holdShares.busy) / looksPerHold);
+  }
 
-  readonly route: Route = {
+  readonly route: LeanRoute = {
     method: 'POST',
-    path: /^\/hello$/,
-    handle: (body) => this.receive(body),
+    path: '/hello',
+    handle: (body, answer) => this.receive(body, answer),
   };
 
-  async receive(body: unknown): Promise<Reply> {
-    const { tenancy, storeFailing, answering, grantTtlMs, settleMs } = this.ports;
+  /** The usual report has nothing new and nothing to start: it is answered at once, or held, and costs little else. */
+  receive(body: unknown, answer: Answer): void {
+    const { tenancy, storeFailing, mayAnswer, clock, settleMs } = this.ports;
     const report = parseReport(body);
-    if (!report) return { status: 400, body: { error: 'not a report' } };
-    const found = tenancy.find(report.machine);
-    if (!found) return this.sendOn(report.machine);
-    const facts = answering();
-    // Without the store we cannot know whom users were told is cancelled, so leases must run out in time.
-    if (facts.now > answerUntil(facts) || peerIsServed(facts, grantTtlMs)) {
-      return { status: 421, body: redirectAnswer(undefined) };
-    }
-    const { board, machine } = found;
+    if (!report) return answer({ status: 400, body: { error: 'not a report' } });
+    const tenure = tenancy.find(report.machine);
+    if (!tenure) return answer(this.sendOn(report.machine));
+    if (!mayAnswer()) return answer({ status: 421, body: redirectAnswer(undefined) });
+    const { board, scheduler, machine } = tenure;
     const result = board.report(machine, report, !storeFailing());
     // Somebody has leased the machine after us, and the watch has yet to tell us.
-    if (result.verdict === 'outranked') return { status: 421, body: redirectAnswer(undefined) };
-    const { now } = facts;
+    if (result.verdict === 'outranked') return answer({ status: 421, body: redirectAnswer(undefined) });
+    const now = clock();
     if (result.verdict === 'unreconciled') machine.introducedAt ??= now;
     if (result.verdict !== 'reconciled')
-      return { status: 200, body: reportAnswer(machine.token, result.orders) };
+      return answer({ status: 200, body: reportAnswer(machine.token, result.orders) });
     machine.introducedAt = undefined;
     const { token, seq } = machine;
-    const before = new Set([...machine.tasks.values()].filter((task) => task.phase !== 'placing'));
-    tenancy.placeNow(board, machine);
-    await tenancy.decided(board, () => machine.tasks.values(), settleMs);
-    const quiet = result.orders.every((order) => order.kind === 'forget');
-    const holdMs = this.holdMs(machine);
-    if (quiet && holdMs > 0 && this.news(machine, before).length === 0) await this.hold(machine, holdMs);
-    // Whatever came in between, a start goes out only under the token that its intent was committed with.
-    const valid =
-      machine.token === token && machine.seq === seq && machine.releasing === '' && !storeFailing();
-    const orders = valid ? [...result.orders, ...this.news(machine, before)] : result.orders;
-    for (const order of orders) {
-      const task = order.kind === 'start' ? machine.tasks.get(taskKey(order)) : undefined;
-      if (task) task.orderedAt ??= now;
-    }
-    return { status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) };
+    // What is placed from here on is not among the orders yet.
+    const before = [...machine.tasks.values()].filter((task) => task.phase !== 'placing');
+    const visit: Visit = { machine, answer, now, token, seq, orders: result.orders, before };
+    scheduler.placeNow(machine);
+    if (machine.tasks.size === before.length) return this.holdOrAnswer(visit, scheduler);
+    void scheduler
+      .decided(() => machine.tasks.values(), settleMs)
+      .then(() => this.holdOrAnswer(visit, scheduler));
   }
 
   /**
@@ -80,32 +91,38 @@
    * with room left it is held a while longer: what comes meanwhile starts at once instead of with the next report. A
    * worker with tasks has news of its own soon, so its answer is held for less.
    */
-  private holdMs(machine: MachineState): number {
-    const { reportMs, tenancy, storeFailing } = this.ports;
-    if (storeFailing() || !tenancy.hasRoom(machine)) return 0;
-    return reportMs * (machine.tasks.size === 0 ? holdShares.empty : holdShares.busy);
+  private holdOrAnswer(visit: Visit, scheduler: Scheduler): void {
+    const { reportMs, storeFailing } = this.ports;
+    const { machine, orders } = visit;
+    const quiet = orders.every((order) => order.kind === 'forget') && this.news(visit).length === 0;
+    if (!quiet || storeFailing() || !scheduler.hasRoom(machine)) return this.finish(visit);
+    const share = machine.tasks.size === 0 ? holdShares.empty : holdShares.busy;
+    this.holds.add(machine, reportMs * share, () => this.finish(visit));
   }
 
-  private async hold(machine: MachineState, ms: number): Promise<void> {
-    // A worker has one report under way at a time, so an answer that is still held is one that nobody waits for.
-    machine.wake?.();
-    await new Promise<void>((resolve) => {
-      const handle = setTimeout(() => machine.wake?.(), ms);
-      machine.wake = (): void => {
-        clearTimeout(handle);
-        machine.wake = undefined;
-        resolve();
-      };
-    });
+  private finish(visit: Visit): void {
+    const { machine, token, seq, now, answer } = visit;
+    // Whatever came in between, a start goes out only under the token that its intent was committed with.
+    const valid =
+      machine.token === token &&
+      machine.seq === seq &&
+      machine.releasing === '' &&
+      !this.ports.storeFailing();
+    const orders = valid ? [...visit.orders, ...this.news(visit)] : visit.orders;
+    for (const order of orders) {
+      const task = order.kind === 'start' ? machine.tasks.get(taskKey(order)) : undefined;
+      if (task) task.orderedAt ??= now;
+    }
+    answer({ status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) });
   }
 
   /** What has been committed for the machine since its report came, and what has ended since. */
-  private news(machine: MachineState, before: ReadonlySet<Task>): Order[] {
+  private news({ machine, before }: Visit): Order[] {
     const orders: Order[] = [];
     for (const task of machine.tasks.values()) {
       const { index, attempt, phase, job } = task;
       const ref = { job: job.id, index, attempt };
-      if (phase === 'placed' && !before.has(task) && !job.ended) orders.push({ kind: 'start', ...ref });
+      if (phase === 'placed' && !before.includes(task) && !job.ended) orders.push({ kind: 'start', ...ref });
       else if (phase === 'seen' && job.ended) orders.push({ kind: 'stop', ...ref, graceS: 0 });
     }
     return orders;
