Who was held up itself judges nobody by that time; nothing is released or rented out of touch with the store

A controller that stands still for longer than a lease wakes with its timers due before any report is read: all machines seemed silent, orders given before seemed unheard, and machines missing from the one list read since seemed lost. Its time is left out now, the store has to have answered within the life of a grant, and an answer that its worker has given up on starts nothing.

--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -32,6 +32,8 @@
   census: Census;
   registry: Registry;
   cloud: CloudClient;
+  /** The store has lately answered us. */
+  inTouch: () => boolean;
   order: OrderOfWork;
   boot: string;
   signal: AbortSignal;
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -67,6 +67,8 @@
   /** Everything that is not a user's commits. */
   commits: CommitStage;
   order: OrderOfWork;
+  /** The store has answered us within the life of a grant: what we were entitled to, we may still be. */
+  inTouch: () => boolean;
 }
 
 /** Wires the slices of one controller together. */
@@ -120,6 +122,7 @@
     const shared = {
       ...{ clock, wallClock: Date.now, log, settings, operator, boot, types },
       ...{ store, mirror, census, registry, cloud, commits },
+      inTouch: () => !store.failing && store.contactAge(clock()) < this.membership.ttlMs,
       order: new OrderOfWork(settings.objectives, settings.reportMs * tellingReports),
     };
     this.parts = shared;
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -34,6 +34,8 @@
   /** There has been no leader before, so no rental of one is still to be listed. */
   firstEver: boolean;
   types: () => ReadonlyMap<string, MachineType>;
+  /** The store has lately answered us: without it the term may be over. */
+  inTouch: () => boolean;
   /** All machines of all blocks, as the store has them. */
   leased: () => ReadonlyMap<string, LeasedMachine>;
 }
@@ -114,7 +116,12 @@
   private applyList(machines: CloudMachine[]): void {
     const { clock, wallClock, settings } = this.ports;
     const leased = this.ports.leased();
-    this.listedAt = clock();
+    const now = clock();
+    // After a standstill of ours, or an outage of the cloud, the last list is too old for a machine to be missed by it.
+    if (now - this.listedAt > settings.cloud.listLagMs * 2) {
+      for (const id of this.lastListed.keys()) this.lastListed.set(id, now);
+    }
+    this.listedAt = now;
     for (const { id, type, zone, spot, ageS, state } of machines) {
       if (this.gone.has(id)) continue;
       this.lastListed.set(id, this.listedAt);
@@ -138,7 +145,7 @@
       // What the last leader rented takes a while to be listed; renting sooner would rent it twice.
       const patience = firstEver ? 0 : settings.cloud.listLagMs;
       const informed = clock() - term.startedAt > patience && this.listedAt > term.startedAt;
-      if (informed && this.ports.types().size > 0) await this.step();
+      if (informed && this.ports.types().size > 0 && this.ports.inTouch()) await this.step();
       await sleep(this.tickMs, term.signal);
     }
   }
@@ -319,6 +326,7 @@
     const { cloud, term, log, census } = this.ports;
     while (!term.signal.aborted) {
       await sleep(this.tickMs / 2, term.signal);
+      if (!this.ports.inTouch()) continue;
       const busy = census.loads();
       const leased = this.ports.leased();
       const due = [...this.unwanted, ...this.lost].filter((id) => {
--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
+import { Standstill } from '../base/standstill.js';
 import type { Log } from '../base/log.js';
 import { type CloudClient, releaseLimit } from '../cloud/client.js';
 import type { MachineType } from '../model/types.js';
@@ -18,6 +19,8 @@
   board: Board;
   signal: AbortSignal;
   types: () => ReadonlyMap<string, MachineType>;
+  /** The store has lately answered us. */
+  inTouch: () => boolean;
   /** Machines were proven gone, so their tasks wait again. */
   onFreed: () => void;
 }
@@ -33,8 +36,17 @@
   constructor(private readonly ports: CustodyPorts) {}
 
   async run(): Promise<void> {
-    const { board, cloud, signal, log, onFreed, settings } = this.ports;
+    const { board, cloud, signal, log, onFreed, settings, clock, inTouch } = this.ports;
+    const pauseMs = settings.reportMs / looksPerReport;
+    const standstill = new Standstill(clock, pauseMs);
     while (!signal.aborted) {
+      const heldUpMs = standstill.look();
+      if (heldUpMs > 0) for (const machine of board.machines.values()) machine.excuse(heldUpMs);
+      // Without the store the block may be another's by now, and nothing that a release frees could start again.
+      if (!inTouch()) {
+        await sleep(pauseMs, signal);
+        continue;
+      }
       this.judge();
       const due = [...board.machines.values()].filter((m) => m.releasing !== '').slice(0, releaseLimit);
       if (due.length > 0 && (await cloud.release(due.map((m) => m.id)))) {
@@ -48,7 +60,9 @@
         }
         onFreed();
       }
-      await sleep(settings.reportMs / looksPerReport, signal);
+      // A release takes its time without anybody being held up.
+      if (due.length > 0) standstill.look();
+      await sleep(pauseMs, signal);
     }
   }
 
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -42,6 +42,9 @@
 /** Finished tasks are left in a worker's reports for so many report intervals if nothing else is to be said. */
 const tidyReports = 2;
 
+/** The protocol's time for an answer to a report. */
+const workerWaitsMs = 4000;
+
 type Answer = (reply: Reply) => void;
 
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
@@ -101,12 +104,16 @@
   }
 
   private finish(visit: Visit): void {
-    const { machine, token, seq, now, answer } = visit;
+    const { machine, token, seq, answer } = visit;
+    const now = this.ports.clock();
+    // We were held up ourselves: the worker has long asked another, and drops what is said now.
+    const late = now - visit.now > workerWaitsMs;
     // Whatever came in between, a start goes out only under the token that its intent was committed with.
     const valid =
       machine.token === token &&
       machine.seq === seq &&
       machine.releasing === '' &&
+      !late &&
       !this.ports.storeFailing();
     const orders = valid ? [...visit.orders, ...this.news(visit)] : visit.orders;
     for (const order of orders) {
--- a/src/workers/machine-state.ts
+++ b/src/workers/machine-state.ts
@@ -62,6 +62,13 @@
     this.introducedAt = undefined;
   }
 
+  /** We were held up for so long ourselves: that is no time in which it could have been heard. */
+  excuse(ms: number): void {
+    this.lastSeen += ms;
+    if (this.introducedAt !== undefined) this.introducedAt += ms;
+    for (const task of this.tasks.values()) if (task.orderedAt !== undefined) task.orderedAt += ms;
+  }
+
   /**
    * Since when it has reported without doing what it was told: its reports reach us and our answers do not reach it.
    * Such a machine would take tasks for ever and start none.
--- a/src/workers/workers.test.ts
+++ b/src/workers/workers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { readdirSync } from 'node:fs';
 import { describe, test } from 'node:test';
+import { Standstill } from '../base/standstill.js';
 import { runTrace } from '../testing/traces.js';
 import type { Task } from '../placement/job-state.js';
 import { MachineState } from './machine-state.js';
@@ -48,3 +49,25 @@
   // cancel_s - lease_s, and then the three reports that any machine is given.
   assert.deepEqual([judged(4000), judged(12_900), judged(13_100)], [0, 0, 1]);
 });
+
+// Guards against a controller that stood still for longer than a lease and called all its machines silent and deaf when it woke.
+test('who was held up itself judges nobody by that time', () => {
+  let now = 0;
+  const standstill = new Standstill(() => now, 1000);
+  const times = { reportMs: 1000, leaseMs: 6000, cancelMs: 16_000 };
+  const state = new MachineState('m1', 0);
+  state.place = { id: 'm1', type: 'c8', zone: 'a', spot: false };
+  state.seen = true;
+  const task = { phase: 'placed', orderedAt: 0 } as Task;
+  state.tasks.set('req-1/0', task);
+  const look = (at: number): [silent: number, deafSince: number | undefined] => {
+    now = at;
+    state.excuse(standstill.look());
+    return [silentMachines([state], now, times, 3).length, state.deafSince()];
+  };
+  assert.deepEqual(look(1000), [0, 0]);
+  assert.deepEqual(look(27_000), [0, 26_000]);
+  // From here on it is the machine's own silence.
+  for (const at of [28_000, 29_000]) look(at);
+  assert.deepEqual(look(30_001), [1, 26_000]);
+});
