--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -230,10 +230,11 @@
 
   /** Deals out what no block has yet, in the order of work. */
   private async dealJobs(): Promise<void> {
-    const { census, registry, types, lookahead, settings, up, order, wallClock } = this.ports;
+    const { census, registry, types, lookahead, settings, up, order, wallClock, commits } = this.ports;
     const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
     const due = this.dueForDealing(open);
-    if (due.length === 0) return;
+    // Behind a queue of commits it would be out of date, and hold up what our own block has to start.
+    if (due.length === 0 || commits.writableLength > settings.state.txnOps / 2) return;
     const alive = (label: string): boolean => registry.isAlive(label);
     const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
     rooms.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undealtTasks(parts, spec.tasks) })));
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -128,12 +128,14 @@
   put: (version: number) => void;
   /** Has the machine report, so that it may be used, and places on it. */
   place: (machine: string) => Promise<void>;
+  stop: AbortController;
   task: () => Task | undefined;
 }
 
 /** A block with two machines and one job of one task, whose commits are answered as the test likes. */
 function stageWith(answer: (conditions: Condition[], stage: Stage) => CommitOutcome): Stage {
   const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0 });
+  const stop = new AbortController();
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
   const machines = ['m1', 'm2'].map((id) => ({ id, token: 7, ...leased }));
   board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines }, 7);
@@ -142,14 +144,14 @@
     commit: (conditions: Condition[]) => Promise.resolve(answer(conditions, stage)),
   } as unknown as CommitStage;
   const scheduler = new Scheduler({
-    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: new AbortController().signal },
+    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: stop.signal },
     store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
     ...{ commits, board, census: new Census(() => 0) },
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
   const value = { spec: { ...spec('req-1', 1), team: 'blue' }, parts: [[0, 0, 1]] };
   const stage: Stage = {
-    ...{ board, scheduler },
+    ...{ board, scheduler, stop },
     put: (version) => board.apply([{ key: 'job/req-1', value, version, deleted: false }]),
     place: async (id) => {
       const machine = board.machines.get(id) as MachineState;
@@ -197,6 +199,25 @@
   assert.deepEqual([commits, stage.task()?.attempt, stage.task()?.phase], [2, 2, 'placed']);
 });
 
+// Guards against ends that wait for their turn while the block's record changes: nearly all that a controller committed
+// for minutes on end was turned down, its intents among them.
+test("a job's end is conditioned on the job alone", async () => {
+  const ends: string[][] = [];
+  const stage = stageWith((conditions) => {
+    const keys = conditions.map((c) => c.key);
+    if (keys.includes('end/req-1')) ends.push(keys);
+    return { kind: 'applied', revision: 9 };
+  });
+  await stage.place('m1');
+  const done = { job: 'req-1', index: 0, attempt: 1, state: 'ended' as const, cause: 'done' };
+  const machine = stage.board.machines.get('m1') as MachineState;
+  stage.board.report(machine, { ...report('m1', machine.seq + 1), token: 7, tasks: [done] }, true);
+  void stage.scheduler.run();
+  for (let i = 0; i < 100 && ends.length === 0; i++) await new Promise((resolve) => setTimeout(resolve, 20));
+  stage.stop.abort();
+  assert.deepEqual(ends, [['end/req-1', 'job/req-1']]);
+});
+
 // Its reports arrive, so it is never silent, while answers and commands do not reach it.
 test('a machine that is told and told again without doing it counts as deaf; one that does as told does not', () => {
   let now = 0;
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -36,6 +36,9 @@
 const roundTransactions = 8;
 /** A controller's even share of the changes of so long is what gathering completions may cost at most. */
 const gatherChanges = 4;
+/** So many seconds of a controller's even share of the changes may be under way as ends. */
+const endingS = 0.5;
+const changesPerEnd = 2;
 /** Jobs that one commit of a page places tasks of, likewise: half of the conditions that a transaction can hold. */
 const jobsPerCommit = 2;
 
@@ -47,11 +50,15 @@
   private rejectedVersion = -1;
   /** Types of the block's usable cheap machines, as of the last whole round. */
   private cheap: ReadonlySet<string> = new Set();
+  /** Ends that are being committed. They take turns with the pages: both wait for the same changes. */
+  private ending = 0;
+  private readonly mostEnding: number;
   /** How long completions are gathered before a page is written for their sake alone. */
   private readonly gatherMs: number;
 
   constructor(private readonly ports: SchedulerPorts) {
     const { reportMs, controllers, state } = ports.settings;
+    this.mostEnding = Math.max(1, Math.floor((state.writeRps * endingS) / controllers / changesPerEnd));
     // Where the store takes few changes, pages written for completions must not keep intents waiting.
     this.gatherMs = Math.max(reportMs / 8, (gatherChanges * controllers * 1000) / state.writeRps);
   }
@@ -198,13 +205,14 @@
     const { board, commits, clock } = this.ports;
     if (!this.mayCommit()) return;
     for (const job of board.jobs.values()) {
-      if (commits.full) return;
       if (job.ending) continue;
       if (job.ended) {
         if (job.active > 0) continue;
         job.leaveLedger(clock());
         board.jobs.delete(job.id);
-      } else if (job.complete && this.othersComplete(job)) void this.commitDone(job);
+      } else if (this.ending < this.mostEnding && !commits.full && job.complete && this.othersComplete(job)) {
+        void this.commitDone(job);
+      }
     }
   }
 
@@ -273,24 +281,30 @@
     await this.settle(outcome, at.block, at.key, page);
   }
 
+  /**
+   * Not conditioned on the block: that all tasks are done stays true whoever has it, and its record changes so often that
+   * ends which wait for their turn would be turned down again and again.
+   */
   private async commitDone(job: JobState): Promise<void> {
     const { commits, board, settings, signal } = this.ports;
-    const { block } = this;
     job.ending = true;
+    this.ending++;
     const outcome = await commits.commit(
-      [block, { key: endKey(job.id), version: 0 }, { key: jobKey(job.id), version: job.version }],
+      [
+        { key: endKey(job.id), version: 0 },
+        { key: jobKey(job.id), version: job.version },
+      ],
       [
         { put: endKey(job.id), value: endRecord('done', job.spec?.tasks ?? job.doneCount) },
         { drop: jobKey(job.id) },
       ],
     );
     if (outcome.kind === 'applied') board.endJob(job, 'done');
-    else {
-      this.checkBlock(outcome, block);
-      // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
-      if (outcome.kind !== 'refused') await sleep(settings.reportMs / 4, signal);
-    }
+    this.ending--;
+    // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
+    if (outcome.kind !== 'applied') await sleep(settings.reportMs / 4, signal);
     job.ending = false;
+    this.poke();
   }
 
   private checkBlock(outcome: CommitOutcome, block: Condition): void {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -52,8 +52,8 @@
 };
 /** Of the duties' requests, what goes to all evenly; the rest goes by the machines that each has. */
 const evenShare = 0.3;
-/** Changes that the duties leave for the next submission. */
-const keptForIntake = 2;
+/** What the duties leave of a burst, so that submissions that come together need not wait for each other. */
+const keptForIntake = 0.5;
 /** What watches take of the requests: each that returns with changes is followed by another. */
 const watchShare = 0.2;
 const burstShare = 0.5;
@@ -69,6 +69,7 @@
   private readonly watchPeer: HttpPeer;
   private readonly requests: Record<Lane, Pacer>;
   private readonly writes: Pacer;
+  private readonly writeBurst: number;
   private readonly intakeWrites: Pacer;
   private role = { leading: false, alive: 1, machines: 0 };
   private readonly stretch: Stretch;
@@ -89,8 +90,10 @@
       duty: new Pacer(1, 1, clock),
     };
     this.stretch = new Stretch(clock());
-    this.writes = new Pacer(1, 1, clock);
-    this.intakeWrites = new Pacer(1, 1, clock);
+    this.writeBurst = Math.max(4, settings.state.writeRps * burstShare);
+    // All controllers may start at once: none begins with more than the duties can use.
+    this.writes = new Pacer(1, this.writeBurst * keptForIntake, clock);
+    this.intakeWrites = new Pacer(1, this.writeBurst * keptForIntake, clock);
     this.contactAt = clock() - settings.cancelMs;
     const { controllers } = settings;
     this.setRole({ leading: false, alive: controllers, machines: 1 / controllers });
@@ -115,9 +118,8 @@
     const share =
       writes.even / sharing + writes.byMachines * role.machines + (role.leading ? writes.leader : 0);
     const rate = state.writeRps * Math.min(1, share * this.stretch.factor);
-    const writeBurst = Math.max(keptForIntake * 2, state.writeRps * burstShare);
-    this.writes.setRate(rate, writeBurst);
-    this.intakeWrites.setRate(rate * writes.mostForIntake, writeBurst);
+    this.writes.setRate(rate, this.writeBurst);
+    this.intakeWrites.setRate(rate * writes.mostForIntake, this.writeBurst);
   }
 
   /** The pause between two watches that keeps all controllers' watches within their share. */
@@ -185,7 +187,7 @@
 
   /** How long a commit of this lane would wait for its turn; `ahead` is what goes out before it. */
   writeWaitMs(lane: Lane, ahead = 0): number {
-    if (lane === 'duty') return this.writes.owedMs(keptForIntake);
+    if (lane === 'duty') return this.writes.owedMs(this.writeBurst * keptForIntake);
     return Math.max(this.writes.owedMs(ahead), this.intakeWrites.owedMs(ahead));
   }
 
