--- a/src/ladder/surplus.ts
+++ b/src/ladder/surplus.ts
@@ -2,7 +2,7 @@
 import { type Ladder, type LadderShape, slotsPerMachine } from './ladder.js';
 import { Lasting } from './lasting.js';
 
-type Counted = Pick<Pool, 'key' | 'type' | 'spot' | 'machines' | 'counted'>;
+type Counted = Pick<Pool, 'key' | 'type' | 'machines' | 'counted'>;
 
 /**
  * How many machines a pool has had too many, all along, for a boot time. The paper's servers go off at no cost; here a
@@ -20,8 +20,6 @@
   }
 }
 
-/** Work that may use cheap machines has time: what it lacks for a moment, others leave by the time that a machine has booted. */
-const slackTimes = 2;
 /** The part of a boot time for which the room to spare must have been lacking before it is rented. */
 const patience = 1 / 4;
 
@@ -36,12 +34,10 @@
   constructor(private readonly shape: LadderShape) {}
 
   count(pool: Counted, ladder: Ladder, now: number): number {
-    const { key, type, spot, machines, counted } = pool;
+    const { key, type, machines, counted } = pool;
     const climb = ladder.rentTo(machines.length, counted) - machines.length;
-    const bootMs = type.bootS * 1000;
-    const lasting = this.lasting.least(key, climb, now, bootMs * patience * (spot ? slackTimes : 1));
-    const without = Math.min(climb, Math.ceil(counted / slotsPerMachine(this.shape)) - machines.length);
-    const pressing = spot ? this.lasting.least(`${key}/without`, without, now, bootMs * patience) : without;
-    return Math.max(lasting, pressing);
+    const lasting = this.lasting.least(key, climb, now, type.bootS * 1000 * patience);
+    const without = Math.ceil(counted / slotsPerMachine(this.shape)) - machines.length;
+    return Math.max(lasting, Math.min(climb, without));
   }
 }
