--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -13,7 +13,7 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type BlockRecord, blockKey, blockRecord } from '../wire/records.js';
+import { type BlockRecord, blockKey, blockRecord, leastPageBytes } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { Custody } from '../workers/custody.js';
 import type { MachineState } from '../workers/machine-state.js';
@@ -42,13 +42,15 @@
 
 /** Changes a second that a controller's share allows for each page that its round is spread over. */
 const changesPerPage = 8;
+const mostPages = 8;
 
 /**
  * Every page that changes is read by every controller, so small pages cost less where the store takes changes enough. Where
  * it takes few, one page has to carry a whole round.
  */
 export function pagesPerValue({ state, controllers }: Pick<Settings, 'state' | 'controllers'>): number {
-  return Math.min(8, Math.max(1, Math.floor(state.writeRps / controllers / changesPerPage)));
+  const most = Math.min(mostPages, Math.floor(state.valueBytes / leastPageBytes));
+  return Math.max(1, Math.min(most, Math.floor(state.writeRps / controllers / changesPerPage)));
 }
 
 interface Tenure {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -37,7 +37,7 @@
 /** A controller's even share of the changes of so long is what gathering completions may cost at most. */
 const gatherChanges = 4;
 /** So many seconds of a controller's even share of the changes may be under way as ends. */
-const endingS = 0.5;
+const endingS = 2;
 const changesPerEnd = 2;
 /** Jobs that one commit of a page places tasks of, likewise: half of the conditions that a transaction can hold. */
 const jobsPerCommit = 2;
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -23,6 +23,15 @@
       (file) => ((file['settings'] as { workers: Record<string, unknown> }).workers['cancel_s'] = 10),
       /cancel_s/,
     ],
+    // What cannot work is said at start: an end takes two changes, a page of the ledger holds an entry.
+    [
+      (file) => ((file['settings'] as { state: Record<string, unknown> }).state['txn_ops'] = 1),
+      /txn_ops: must be at least 2/,
+    ],
+    [
+      (file) => ((file['settings'] as { state: Record<string, unknown> }).state['value_kb'] = 0.5),
+      /value_kb: must be at least 1/,
+    ],
   ];
   for (const [spoil, message] of wrong) {
     assert.throws(
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import { leastPageBytes } from '../wire/records.js';
 
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
@@ -102,6 +103,12 @@
   if (s.workers.cancel_s <= s.workers.lease_s) {
     throw new SettingsError('field settings.workers.cancel_s: must be more than lease_s');
   }
+  // An end is two changes at once, and a page of the ledger holds an entry at least.
+  if (s.state.txn_ops < 2) throw new SettingsError('field settings.state.txn_ops: must be at least 2');
+  const leastKb = Math.ceil(leastPageBytes / 1024);
+  if (s.state.value_kb < leastKb) {
+    throw new SettingsError(`field settings.state.value_kb: must be at least ${leastKb}`);
+  }
   return {
     label: file.label,
     zone: file.location,
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -207,6 +207,9 @@
 /** An entry takes this part of a page at most, so that pages fill well. */
 const chunkShare = 1 / 4;
 
+/** A page has to hold an entry with a task of its own. */
+export const leastPageBytes = Math.ceil((bytesPerEntry + bytesPerTask) / chunkShare);
+
 export function tasksPerChunk(valueBytes: number): number {
   return Math.max(1, Math.floor((valueBytes * chunkShare - bytesPerEntry) / bytesPerTask));
 }
