--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -1,3 +1,4 @@
+import { onAbort } from '../base/aborts.js';
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
 import { type Answer, HttpPeer } from '../base/http.js';
@@ -74,6 +75,7 @@
   private role = { leading: false, alive: 1, machines: 0 };
   private readonly stretch: Stretch;
   private counts: { changes: Record<string, number>; refused: number } = { changes: {}, refused: 0 };
+  private openWatch: AbortController | undefined;
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -169,10 +171,13 @@
 
   /** Waits for changes; undefined where the service no longer has them and the keys must be read again. */
   async watch(since: number): Promise<{ changes: Change[]; revision: number } | undefined> {
-    const answer = await this.watchPeer.exchange('GET', watchPath(since, watchHoldMs), undefined, {
-      timeoutMs: watchHoldMs * 2,
-      signal: this.signal,
-    });
+    const stop = new AbortController();
+    const stopListening = onAbort(this.signal, () => stop.abort());
+    this.openWatch = stop;
+    const options = { timeoutMs: watchHoldMs * 2, signal: stop.signal };
+    const answer = await this.watchPeer
+      .exchange('GET', watchPath(since, watchHoldMs), undefined, options)
+      .finally(stopListening);
     if (answer.status === 410) return undefined;
     if (answer.status !== 200) throw new StoreUnavailable(`watch answered ${answer.status}`);
     return parseChanges(answer.body);
@@ -254,7 +259,12 @@
         signal: this.signal,
       });
       if (answer.status === 503) this.refusedAt = this.clock();
-      else this.contactAt = Math.max(this.contactAt, sentAt);
+      else {
+        const { failing } = this;
+        this.contactAt = Math.max(this.contactAt, sentAt);
+        // A cut may have swallowed the watch: it would wait for its time to be up before it is asked for again.
+        if (failing && !this.failing) this.openWatch?.abort();
+      }
       return answer;
     } catch (error) {
       // One answer that is slow or lost says nothing while others that were asked for later have come.
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
+import { type AddressInfo } from 'node:net';
+import { createServer } from 'node:http';
 import { test } from 'node:test';
+import { steadyClock } from '../base/clock.js';
 import { testSettings } from '../testing/settings.js';
 import type { Change, Condition, Write } from '../wire/state.js';
-import type { CommitOutcome } from './client.js';
+import { reply } from '../testing/store-standin.js';
+import { type CommitOutcome, StoreClient } from './client.js';
 import { CommitStage, takeBatch } from './commit-stage.js';
 import { Mirror } from './mirror.js';
 import { Stretch } from './stretch.js';
@@ -168,3 +172,24 @@
     ['block/0', 'run/0/1', 'run/0/2'],
   ]);
 });
+
+// Guards against a controller that is back from a cut and for seconds does not hear that its block was leased to another.
+test('a watch that a cut has swallowed is given up once the store answers again', async () => {
+  const statuses = [503, 200];
+  const server = createServer((request, response) => {
+    // The watch is never answered.
+    if (request.url?.startsWith('/changes')) return;
+    reply(response, statuses.shift() ?? 404, { path: 'sk/lead', value: 1, stamp: 1 });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const settings = { ...testSettings(), stateAddress: `127.0.0.1:${port}` };
+  const client = new StoreClient(settings, steadyClock, never);
+  const given = assert.rejects(client.watch(1), /cancelled/);
+  await assert.rejects(client.read('lead'));
+  assert.equal(client.failing, true);
+  assert.ok(await client.read('lead'));
+  await given;
+  server.closeAllConnections();
+  server.close();
+});
