--- a/src/base/standstill.ts
+++ b/src/base/standstill.ts
@@ -17,11 +17,11 @@
     this.lookedAt = clock();
   }
 
-  /** What was lost since the last look. */
+  /** What was lost since the last look, beyond the pause that there always is. */
   look(): number {
     const now = this.clock();
     const passed = now - this.lookedAt;
     this.lookedAt = now;
-    return passed > this.pauseMs * heldUpTimes ? passed : 0;
+    return passed > this.pauseMs * heldUpTimes ? passed - this.pauseMs : 0;
   }
 }
--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -202,3 +202,17 @@
   assert.ok(begunS < 240, `began after ${begunS} s`);
   assert.ok(nowS < 400, `all dealt after ${nowS} s`);
 });
+
+// Guards against deals task by task: with 25 changes a second a third of them were deals of what had no room.
+test('the more waits beyond all room, the more a block is given ahead, up to its size once over', () => {
+  const large = spec('req-1', 500);
+  const given = (backlog: number): number => {
+    const room = rooms();
+    if (backlog > 0) room.deepen([{ spec: large, tasks: backlog }]);
+    return (room.deal(large, []) ?? []).reduce((sum, part) => sum + part.count, 0);
+  };
+  const [without, some, much] = [given(0), given(12), given(500)];
+  assert.equal(without, 12);
+  assert.ok(some > without && some <= without * 2, `${some} of ${without}`);
+  assert.equal(much, without * 2);
+});
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -34,6 +34,8 @@
   cloud: CloudClient;
   /** The store has lately answered us. */
   inTouch: () => boolean;
+  /** None of the machines of a block is heard of. */
+  onUnheard: () => void;
   order: OrderOfWork;
   boot: string;
   signal: AbortSignal;
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -126,7 +126,9 @@
       order: new OrderOfWork(settings.objectives, settings.reportMs * tellingReports),
     };
     this.parts = shared;
-    this.tenancy = new Tenancy({ ...shared, signal });
+    // Only others can keep the workers' tasks then: they are leased our blocks as soon as our grant is gone.
+    const onUnheard = (): void => this.membership.stepAside(settings.cancelMs);
+    this.tenancy = new Tenancy({ ...shared, signal, onUnheard });
     this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
     this.election = new Election({
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -6,6 +6,7 @@
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
 import type { Census } from '../placement/census.js';
+import { lateClasses } from '../placement/lateness.js';
 import type { OrderOfWork } from '../placement/order.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
@@ -242,7 +243,16 @@
       exhausted: pool.exhausted,
     }));
     log[due ? 'info' : 'debug']({ event: 'pools', pools }, 'pools');
-    if (due) this.loggedAt = now;
+    if (!due) return;
+    this.loggedAt = now;
+    this.logLate();
+  }
+
+  private logLate(): void {
+    const { log, census, settings, wallClock } = this.ports;
+    const jobs = [...census.jobs.values()].map((job) => census.queued(job));
+    const classes = lateClasses(settings.objectives, jobs, wallClock());
+    if (classes.length > 0) log.info({ event: 'late', classes }, 'classes run late');
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -1,4 +1,4 @@
-import { sleep } from '../base/clock.js';
+import { type Clock, sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
@@ -8,6 +8,7 @@
 import { type AliveRecord, aliveKey, parseAlive } from '../wire/records.js';
 
 export interface MembershipPorts {
+  clock: Clock;
   log: Log;
   store: StoreClient;
   commits: CommitStage;
@@ -28,6 +29,7 @@
 export class Membership {
   readonly ttlMs: number;
   private id: number | undefined;
+  private asideUntil = -Infinity;
 
   constructor(private readonly ports: MembershipPorts) {
     this.ttlMs = ports.settings.reportMs * ports.operator.leadership.grantReports;
@@ -37,15 +39,28 @@
     return this.id;
   }
 
+  /** Gives the grant up, and with it the blocks and the lead, for so long: we are of no use to our workers. */
+  stepAside(ms: number): void {
+    const { store, log, clock } = this.ports;
+    const { id } = this;
+    if (id === undefined) return;
+    this.asideUntil = clock() + ms;
+    this.id = undefined;
+    log.info({ event: 'stepped-aside', grant: id, ms }, 'no worker is heard: others take over');
+    void store.endGrant(id).catch(() => undefined);
+  }
+
   async run(signal: AbortSignal): Promise<void> {
-    const { store, log, mirror, settings } = this.ports;
+    const { store, log, mirror, settings, clock } = this.ports;
+    await sleep(Math.max(0, this.asideUntil - clock()), signal);
+    if (signal.aborted) return;
     try {
       this.id = await store.grant(this.ttlMs);
       await this.announce(this.id);
       log.info({ event: 'joined', grant: this.id }, 'joined');
       while (!signal.aborted) {
         await sleep(this.ttlMs / renewals, signal);
-        if (signal.aborted) return;
+        if (signal.aborted || this.id === undefined) return;
         try {
           if (!(await store.touch(this.id))) break;
         } catch (error) {
--- a/src/placement/census.ts
+++ b/src/placement/census.ts
@@ -99,11 +99,12 @@
 
   /** Open jobs in the order of work, or those of them that are given. */
   inOrder(order: OrderOfWork, now: number, jobs: Iterable<CensusJob> = this.jobs.values()): CensusJob[] {
-    const queued = ({ id, spec }: CensusJob): Queued => {
-      const { done, active } = this.progress(id);
-      return { spec, waiting: spec.tasks - done - active, started: done + active > 0 };
-    };
-    return order.sorted(jobs, queued, now);
+    return order.sorted(jobs, (job) => this.queued(job), now);
+  }
+
+  queued({ id, spec }: CensusJob): Queued {
+    const { done, active } = this.progress(id);
+    return { spec, waiting: spec.tasks - done - active, started: done + active > 0 };
   }
 
   /** Waiting tasks of the job by block; those that are not dealt yet belong to none. */
--- /dev/null
+++ b/src/placement/lateness.ts
@@ -0,0 +1,47 @@
+import type { Objective } from '../settings/settings.js';
+import type { Queued } from './order.js';
+
+/** An objective that more of a class's open jobs have missed than it allows. */
+export interface Late {
+  jobClass: string;
+  objective: string;
+  open: number;
+  late: number;
+}
+
+/** Shares are decimals, so what they allow may differ in its last bits. */
+const slack = 1e-6;
+
+/** Which classes run late, by the objectives of the settings: the people on call are to hear of it before users do. */
+export function lateClasses(objectives: Iterable<Objective>, jobs: Iterable<Queued>, now: number): Late[] {
+  const byClass = new Map<string, Queued[]>();
+  for (const job of jobs) {
+    const known = byClass.get(job.spec.jobClass);
+    if (known) known.push(job);
+    else byClass.set(job.spec.jobClass, [job]);
+  }
+  const slipping: Late[] = [];
+  for (const objective of objectives) {
+    const open = byClass.get(objective.jobClass ?? '') ?? [];
+    const late = open.filter((job) => misses(objective, job, now)).length;
+    if (late === 0 || late <= open.length * (1 - (objective.share ?? 1)) + slack) continue;
+    slipping.push({
+      jobClass: objective.jobClass ?? '',
+      objective: nameOf(objective),
+      open: open.length,
+      late,
+    });
+  }
+  return slipping;
+}
+
+function misses({ kind, withinS, times }: Objective, { spec, waiting }: Queued, now: number): boolean {
+  const ageS = (now - spec.acceptedAt) / 1000;
+  if (kind === 'deadline') return spec.deadlineS !== null && ageS > spec.deadlineS * (times ?? 1);
+  if (withinS === undefined) return false;
+  return (kind === 'finished' || (kind === 'wait' && waiting > 0)) && ageS > withinS;
+}
+
+function nameOf({ kind, withinS, times }: Objective): string {
+  return kind === 'deadline' ? `deadline ${times ?? 1}x` : `${kind} ${withinS ?? 0} s`;
+}
--- a/src/placement/order.test.ts
+++ b/src/placement/order.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
+import { lateClasses } from './lateness.js';
 import { OrderOfWork, type Queued } from './order.js';
 
 const objectives = [
@@ -55,3 +56,20 @@
     ['req-1', 'req-2'],
   );
 });
+
+test('a class is named as late once more of its open jobs miss an objective than that allows', () => {
+  const waiting = (id: string, acceptedS: number): Queued => queued(id, 3, acceptedS);
+  const jobs = [...Array(9).keys()].map((i) => waiting(`req-${i}`, 50));
+  const allowed = [...jobs, waiting('req-9', 0)];
+  assert.deepEqual(lateClasses(objectives, allowed, 61_000), []);
+  const late = { jobClass: 'quick', objective: 'wait 60 s', open: 11, late: 2 };
+  assert.deepEqual(lateClasses(objectives, [...allowed, waiting('req-10', 0)], 61_000), [late]);
+  // What has all its tasks on machines waits no more; a deadline counts for as long as the job is open.
+  const started = { ...queued('req-1', 0, 0), started: true };
+  assert.deepEqual(lateClasses(objectives, [started], 61_000), []);
+  const due = queued('req-1', 0, 0, { jobClass: 'due', deadlineS: 40 });
+  assert.deepEqual(
+    lateClasses(objectives, [due], 61_000).map(({ objective }) => objective),
+    ['deadline 1x'],
+  );
+});
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -246,6 +246,12 @@
     return true;
   }
 
+  /** Whatever hangs on it goes at once. */
+  async endGrant(id: number): Promise<void> {
+    this.requests.duty.reserve(1);
+    await this.send('DELETE', grantPath(id), undefined);
+  }
+
   private async call(method: string, path: string, body: unknown, lane: Lane = 'duty'): Promise<Answer> {
     await sleep(this.requests[lane].reserve(1), this.signal);
     return this.send(method, path, body);
--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -7,7 +7,7 @@
 import type { Board } from '../placement/board.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import { silentMachines } from './silence.js';
+import { nobodyIsHeard, silentMachines } from './silence.js';
 import { stragglers } from './slowness.js';
 
 export interface CustodyPorts {
@@ -21,12 +21,16 @@
   types: () => ReadonlyMap<string, MachineType>;
   /** The store has lately answered us. */
   inTouch: () => boolean;
+  /** None of the machines is heard of. */
+  onUnheard: () => void;
   /** Machines were proven gone, so their tasks wait again. */
   onFreed: () => void;
 }
 
 /** Machines are judged so often in a report interval. */
 const looksPerReport = 3;
+/** The store must have answered for so many report intervals before silence is taken for our own. */
+const settledReports = 2;
 
 /**
  * The owner's care for the machines of its block: it lets go of those that are silent, never came up, or fail the
@@ -36,14 +40,23 @@
   constructor(private readonly ports: CustodyPorts) {}
 
   async run(): Promise<void> {
-    const { board, cloud, signal, log, onFreed, settings, clock, inTouch } = this.ports;
+    const { board, cloud, signal, log, onFreed, settings, clock, inTouch, onUnheard } = this.ports;
     const pauseMs = settings.reportMs / looksPerReport;
     const standstill = new Standstill(clock, pauseMs);
+    let inTouchSince = clock();
     while (!signal.aborted) {
       const heldUpMs = standstill.look();
       if (heldUpMs > 0) for (const machine of board.machines.values()) machine.excuse(heldUpMs);
       // Without the store the block may be another's by now, and nothing that a release frees could start again.
       if (!inTouch()) {
+        inTouchSince = clock();
+        await sleep(pauseMs, signal);
+        continue;
+      }
+      // Who is back from a cut may still take for its own what has long been leased to another.
+      const settled = clock() - inTouchSince > settings.reportMs * settledReports;
+      if (settled && nobodyIsHeard(board.machines.values(), clock(), settings.reportMs)) {
+        onUnheard();
         await sleep(pauseMs, signal);
         continue;
       }
--- a/src/workers/silence.ts
+++ b/src/workers/silence.ts
@@ -4,6 +4,17 @@
 /** A zone in which more than this share of the machines falls silent at once has most likely lost its network. */
 const zoneShare = 0.7;
 
+/** Fewer machines than this may all be silent by chance. */
+const leastHeard = 4;
+/** Each reports within so many report intervals at the latest. */
+const longestGap = 1.25;
+
+/** No machine is heard of at all, where many were: it is most likely we who are cut off from the workers. */
+export function nobodyIsHeard(machines: Iterable<MachineState>, now: number, reportMs: number): boolean {
+  const heard = [...machines].filter((m) => m.seen && m.releasing === '');
+  return heard.length >= leastHeard && heard.every((m) => now - m.lastSeen > reportMs * longestGap);
+}
+
 /**
  * Machines to be released because nothing is heard of them. One that falls silent among others that speak has most
  * likely died, hangs or was taken, and a release proves it. Where nearly a whole zone falls silent the network is
