Answer workers by what is known of cancels, not by the last answer of the store

A blind owner counted from lastContact, which any answer moves, and took a peer for agreeing whose last contact was up to a quarter of a report interval later: in that slack cancels were confirmed that nobody listed. Now a knowledge horizon (the sending time of the last request whose revision the mirror has reached), and peers that list every cancelled end they have learned of beyond our revision, or admit that they cannot. What a controller confirms itself reaches its own boards at once. Starts need knowledge younger than two report intervals, and a held answer drops the start of a job that ended meanwhile. A candidacy carried out after it was given up kept its living candidate from leading: any key under our own label now stands for nobody.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -11,9 +11,10 @@
 import { Registry } from './blocks/registry.js';
 import { Tenancy } from './blocks/tenancy.js';
 import { CloudClient } from './cloud/client.js';
+import { Cancellations } from './intake/cancellations.js';
 import { Intake } from './intake/intake.js';
 import { Fleet } from './ladder/fleet.js';
-import { type AnsweringFacts, answerUntil, answeringMargin, peerIsServed } from './leadership/answering.js';
+import { type AnsweringFacts, answerUntil, answeringSpan, peerIsServed } from './leadership/answering.js';
 import { Election } from './leadership/election.js';
 import { Membership } from './leadership/membership.js';
 import type { Term } from './leadership/term.js';
@@ -26,7 +27,15 @@
 import { type Lane, StoreClient } from './store/client.js';
 import { CommitStage } from './store/commit-stage.js';
 import { Mirror } from './store/mirror.js';
-import { type LeasedMachine, type Part, leadKey } from './wire/records.js';
+import {
+  type LeasedMachine,
+  type Part,
+  endKey,
+  endRecord,
+  endedJob,
+  leadKey,
+  parseEnd,
+} from './wire/records.js';
 import { WorkerDesk } from './workers/desk.js';
 
 const probeMs = 400;
@@ -48,6 +57,8 @@
 const tellingReports = 4;
 /** Without the store for this part of a grant's life, a controller sends users to those that have it. */
 const servingShare = 3;
+/** Older knowledge than so many report intervals starts nothing. */
+const startingReports = 2;
 /** How long the peers are told of machines that have come up, or are proven gone. */
 const toldMs = 20_000;
 
@@ -107,6 +118,7 @@
     setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
     const mirror = new Mirror(store, store.watchGapMs, probeMs);
+    const cancellations = new Cancellations(() => mirror.firstRevision);
     const census = new Census(clock);
     const registry = new Registry(mirror);
     const cloud = new CloudClient(settings, clock, signal);
@@ -149,10 +161,11 @@
       facts: () => ({
         contactAge: store.contactAge(clock()),
         token: this.election.term?.token ?? 0,
-        cancelled: this.intake.recentlyCancelled(),
+        knows: mirror.revision,
         gone: this.tenancy.boards().flatMap((board) => board.goneSince(clock() - toldMs)),
         up: this.tenancy.boards().flatMap((board) => board.upSince(clock() - toldMs)),
       }),
+      vouch: (revision) => cancellations.since(revision),
       onStatus: (status) => this.heed(status),
     });
     this.store = store;
@@ -162,6 +175,11 @@
     this.cloud = cloud;
     let loaded = false;
     mirror.listen((changes) => {
+      for (const change of changes) {
+        const id = endedJob(change.key);
+        if (id !== undefined && parseEnd(change.value)?.end === 'cancelled')
+          cancellations.learn(id, change.version);
+      }
       if (loaded) census.apply(changes);
       else census.load(mirror);
       loaded = true;
@@ -170,11 +188,11 @@
   }
 
   async run(): Promise<void> {
-    const { settings, log, clock, signal, mirror, store } = this;
+    const { settings, log, clock, signal, mirror } = this;
     const desk = new WorkerDesk({
       ...{ clock, label: settings.label, tenancy: this.tenancy, registry: this.registry },
       leader: () => this.election.leader,
-      storeFailing: () => store.failing,
+      mayStart: () => this.mayStart(),
       mayAnswer: () => this.mayAnswer(),
       reportMs: settings.reportMs,
       settleMs: settings.reportMs / 4,
@@ -267,36 +285,32 @@
     this.fleet?.noteGone(status.gone);
     const { term } = this.election;
     if (term && status.token > term.token) term.end(`${status.from} leads with a higher token`);
-    for (const board of this.tenancy.boards()) {
-      for (const id of status.cancelled) {
-        const job = board.jobs.get(id);
-        if (job && !job.ended) board.endJob(job, 'cancelled');
-      }
+    for (const [id, version] of status.cancelled) {
+      this.mirror.learnEnd(endKey(id), { value: endRecord('cancelled', 0), version });
     }
   }
 
   /** Without the store we cannot know whom users were told is cancelled, so leases must run out in time. */
   private mayAnswer(): boolean {
     const { ttlMs } = this.membership;
-    const { cancelMs, leaseMs, reportMs } = this.settings;
     // The usual case, asked for with every report: no word of any peer could shorten this.
     const now = this.clock();
-    if (now - this.store.lastContact < Math.min(ttlMs, cancelMs - leaseMs - answeringMargin(reportMs)))
-      return true;
     const facts = this.answeringFacts(now);
+    if (now <= facts.knownUntil + answeringSpan(facts) && now - facts.lastContact <= ttlMs) return true;
+    facts.peers = this.settings.peers.map((peer) => this.peers.word(peer.label));
     return now <= answerUntil(facts) && !peerIsServed(facts, ttlMs);
   }
 
+  /** Nothing is started on knowledge that is older than a few reports: what it is for may be over. */
+  private mayStart(): boolean {
+    const knownUntil = this.store.knownUntil(this.mirror.revision);
+    return !this.store.failing && this.clock() - knownUntil < this.settings.reportMs * startingReports;
+  }
+
   private answeringFacts(now: number): AnsweringFacts {
     const { cancelMs, leaseMs, reportMs } = this.settings;
-    return {
-      now,
-      lastContact: this.store.lastContact,
-      cancelMs,
-      leaseMs,
-      reportMs,
-      peers: this.settings.peers.map((peer) => this.peers.word(peer.label)),
-    };
+    const knownUntil = this.store.knownUntil(this.mirror.revision);
+    return { now, knownUntil, lastContact: this.store.lastContact, cancelMs, leaseMs, reportMs, peers: [] };
   }
 
   /**
@@ -347,11 +361,23 @@
     }
   }
 
-  /** Asks the store something cheap when nothing else has lately, so that its silence is noticed. */
+  /**
+   * Asks the store something cheap when nothing else has lately, so that its silence is noticed and we know how recent our
+   * copy is: a comparison names the store's revision whether or not anything has changed.
+   */
   private async keepContact(signal: AbortSignal): Promise<void> {
+    const { store, mirror } = this;
+    let watchRenewedAt = this.clock();
     while (!signal.aborted) {
-      if (this.store.failing || this.store.contactAge(this.clock()) > probeMs * 2) {
-        await this.store.read(leadKey).catch(() => undefined);
+      if (store.failing || this.clock() - store.lastSighting > probeMs * 2) {
+        await store.commit('duty', [{ key: leadKey, version: mirror.version(leadKey) }], []);
+      }
+      // Others are answered and the watch brings nothing: it is lost, or waits as in an outage.
+      const lateMs = store.lastSighting - store.knownUntil(mirror.revision);
+      const patienceMs = this.settings.reportMs / 2;
+      if (mirror.ready && lateMs > patienceMs && this.clock() - watchRenewedAt > patienceMs) {
+        watchRenewedAt = this.clock();
+        store.renewWatch();
       }
       this.tenancy.follow([]);
       for (const board of this.tenancy.boards()) this.noteUp(board.upSince(this.clock() - toldMs));
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -20,7 +20,6 @@
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import { whyImpossible } from './admission.js';
-import { RecentIds } from './recent.js';
 
 export interface IntakePorts {
   clock: Clock;
@@ -54,12 +53,9 @@
   { kind: 'ended'; end: End; tasks: number } | { kind: 'open' } | { kind: 'none' } | { kind: 'unsure' };
 
 export class Intake {
-  private readonly cancels: RecentIds;
   private readonly underWay = new Map<string, Promise<Reply>>();
 
-  constructor(private readonly ports: IntakePorts) {
-    this.cancels = new RecentIds(ports.settings.cancelMs, ports.clock);
-  }
+  constructor(private readonly ports: IntakePorts) {}
 
   readonly routes: Route[] = [
     { method: 'POST', path: /^\/v2\/runs$/, handle: (body) => this.submit(body) },
@@ -73,11 +69,6 @@
     handle: (_body, answer) => answer({ status: this.ports.isUp() ? 200 : 503 }),
   };
 
-  /** For the peers: a leader that has lost the store learns from them what users were told is cancelled. */
-  recentlyCancelled(): string[] {
-    return this.cancels.list();
-  }
-
   /**
    * A repetition that comes while the first try is under way gets the same answer: another commit of the same job could
    * only be in vain, and a queue that its own repetitions make longer never gets shorter.
@@ -185,7 +176,6 @@
         [{ put: endKey(id), value }, { drop: jobKey(id) }],
       );
       if (outcome.kind === 'applied') {
-        this.cancels.add(id);
         mirror.learnEnd(endKey(id), { value, version: outcome.revision });
         return { status: 200, body: jobAnswer(id, 'cancelled') };
       }
@@ -195,7 +185,6 @@
     }
     const standing = await this.standing(id);
     if (standing.kind === 'ended') {
-      if (standing.end === 'cancelled') this.cancels.add(id);
       return { status: 200, body: jobAnswer(id, standing.end) };
     }
     return standing.kind === 'none'
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -27,11 +27,12 @@
 const tickMs = 100;
 
 /**
- * Whether to stand for election. A key left by an earlier life of this very controller stands for nobody: there
- * is one process under each label, and whatever that life still has in flight is conditioned on its own token.
+ * Whether to stand for election, by who does not lead now. A key under our own label stands for nobody then: an earlier
+ * life of this controller left it, or a candidacy of ours that we gave up was carried out late. There is one process under
+ * each label, and whatever it still has in flight as leader is conditioned on the old token.
  */
-export function mayStand(lead: LeadRecord | undefined, label: string, boot: string): boolean {
-  return lead === undefined || (lead.label === label && lead.boot !== boot);
+export function mayStand(lead: LeadRecord | undefined, label: string): boolean {
+  return lead === undefined || lead.label === label;
 }
 
 export class Election {
@@ -66,9 +67,9 @@
   }
 
   private get standing(): boolean {
-    const { mirror, store, membership, settings, boot } = this.ports;
+    const { mirror, store, membership, settings } = this.ports;
     if (!mirror.ready || store.failing || membership.grant === undefined) return false;
-    return mayStand(this.lead, settings.label, boot);
+    return mayStand(this.lead, settings.label);
   }
 
   private async stand(signal: AbortSignal): Promise<Term | undefined> {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -6,6 +6,7 @@
 import { sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
+import type { Cancelled, Vouched } from '../intake/cancellations.js';
 import type { PeerWord } from '../leadership/answering.js';
 import type { Settings } from '../settings/settings.js';
 
@@ -21,8 +22,11 @@
   /** The last serial it has from the receiver in this life of the receiver, else 0. */
   echo: number;
   echoBoot: string;
-  /** Jobs it has lately confirmed as cancelled, for a leader that cannot see the store. */
-  cancelled: string[];
+  /** The revision that its copy of the store has reached. */
+  knows: number;
+  /** The cancelled jobs that it has learned of with a version above `since`: all that it can have told users of. */
+  cancelled: Cancelled[];
+  since: number;
   /** Machines that it has lately proven gone. */
   gone: string[];
   /** Machines that it has lately heard of for the first time. */
@@ -32,6 +36,7 @@
 interface Heard {
   boot: string;
   serial: number;
+  knows: number;
 }
 
 export interface PeerPorts {
@@ -39,7 +44,9 @@
   log: Log;
   settings: Settings;
   boot: string;
-  facts: () => Pick<PeerStatus, 'contactAge' | 'token' | 'cancelled' | 'gone' | 'up'>;
+  facts: () => Pick<PeerStatus, 'contactAge' | 'token' | 'knows' | 'gone' | 'up'>;
+  /** What we can vouch for to a peer whose copy has reached this revision. */
+  vouch: (revision: number) => Vouched;
   onStatus: (status: PeerStatus) => void;
 }
 
@@ -76,14 +83,18 @@
     if (!ports.settings.peers.some((p) => p.label === status.from)) return;
     const last = this.heard.get(status.from);
     if (last?.boot === status.boot && last.serial >= status.serial) return;
-    this.heard.set(status.from, { boot: status.boot, serial: status.serial });
-    const notBefore = status.echoBoot === ports.boot ? this.sentAt.get(status.echo) : undefined;
-    if (notBefore !== undefined) this.words.set(status.from, { notBefore, contactAge: status.contactAge });
+    this.heard.set(status.from, { boot: status.boot, serial: status.serial, knows: status.knows });
     ports.onStatus(status);
+    const notBefore = status.echoBoot === ports.boot ? this.sentAt.get(status.echo) : undefined;
+    if (notBefore === undefined) return;
+    // What an earlier word vouched for stays so, also where a new life of the peer cannot say it again.
+    const complete = status.since <= ports.facts().knows;
+    const vouchedUntil = complete ? notBefore : (this.words.get(status.from)?.vouchedUntil ?? -Infinity);
+    this.words.set(status.from, { notBefore, contactAge: status.contactAge, vouchedUntil });
   }
 
   compose(to: string): PeerStatus {
-    const { settings, boot, facts, clock } = this.ports;
+    const { settings, boot, facts, vouch, clock } = this.ports;
     const heard = this.heard.get(to);
     const serial = ++this.serial;
     this.sentAt.set(serial, clock());
@@ -95,6 +106,7 @@
       echo: heard?.serial ?? 0,
       echoBoot: heard?.boot ?? '',
       ...facts(),
+      ...vouch(heard?.knows ?? Infinity),
     };
   }
 
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -6,6 +6,7 @@
   type BlockRecord,
   type Shares,
   endKey,
+  endedJob,
   parseEnd,
   parseJobRecord,
   ledgerPrefix,
@@ -116,9 +117,9 @@
         if (job) this.endJob(job, 'cancelled');
       } else if (change.key.startsWith('job/')) {
         job = this.setJob(change.key, change.value, change.version);
-      } else if (change.key.startsWith('end/')) {
+      } else {
         const end = parseEnd(change.value);
-        job = this.jobs.get(change.key.slice('end/'.length));
+        job = this.jobs.get(endedJob(change.key) ?? '');
         if (job && end) this.endJob(job, end.end);
       }
       concerned ||= job !== undefined;
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -4,6 +4,7 @@
 import { type Answer, HttpPeer } from '../base/http.js';
 import { Pacer } from '../base/pacer.js';
 import type { Settings } from '../settings/settings.js';
+import { Horizon } from './horizon.js';
 import { Stretch } from './stretch.js';
 import {
   type Change,
@@ -20,6 +21,7 @@
   parseGrant,
   parseList,
   parseRead,
+  revisionOf,
   watchPath,
   writtenKey,
 } from '../wire/state.js';
@@ -76,6 +78,8 @@
   private readonly stretch: Stretch;
   private counts: { changes: Record<string, number>; refused: number } = { changes: {}, refused: 0 };
   private openWatch: AbortController | undefined;
+  /** What we know of the store's changes; whether it serves us is another matter, see `lastContact`. */
+  private readonly horizon = new Horizon();
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -131,7 +135,17 @@
     return Math.max(leastWatchGapMs, this.settings.reportMs * watchGapReports, share);
   }
 
-  /** When the last request that was served had been sent; what was true then is all that we know. */
+  /** Every change committed before this moment of our clock is in a copy that has reached `revision`. */
+  knownUntil(revision: number): number {
+    return this.horizon.until(revision);
+  }
+
+  /** When the last request was sent whose answer named a revision of the store. */
+  get lastSighting(): number {
+    return this.horizon.lastSighting;
+  }
+
+  /** When the last request that was served had been sent: it says that the store serves us, not what we know of it. */
   get lastContact(): number {
     return this.contactAt;
   }
@@ -175,14 +189,21 @@
     const stopListening = onAbort(this.signal, () => stop.abort());
     this.openWatch = stop;
     const options = { timeoutMs: watchHoldMs * 2, signal: stop.signal };
+    const sentAt = this.clock();
     const answer = await this.watchPeer
       .exchange('GET', watchPath(since, watchHoldMs), undefined, options)
       .finally(stopListening);
     if (answer.status === 410) return undefined;
     if (answer.status !== 200) throw new StoreUnavailable(`watch answered ${answer.status}`);
+    this.sight(sentAt, answer);
     return parseChanges(answer.body);
   }
 
+  /** Gives the open watch up: a cut may have swallowed it, and it would wait for its time to be up. */
+  renewWatch(): void {
+    this.openWatch?.abort();
+  }
+
   /** Changes asked for since this was last called, by the kind of key, and how many commits the service refused. */
   takeCounts(): { changes: Record<string, number>; refused: number } {
     const { counts } = this;
@@ -252,6 +273,12 @@
     await this.send('DELETE', grantPath(id), undefined);
   }
 
+  /** Only what was carried out, or turned down for its conditions, says which revision it found. */
+  private sight(sentAt: number, { status, body }: Answer): void {
+    const revision = status === 200 || status === 404 || status === 409 ? revisionOf(body) : undefined;
+    if (revision !== undefined) this.horizon.note(sentAt, revision);
+  }
+
   private async call(method: string, path: string, body: unknown, lane: Lane = 'duty'): Promise<Answer> {
     await sleep(this.requests[lane].reserve(1), this.signal);
     return this.send(method, path, body);
@@ -268,8 +295,8 @@
       else {
         const { failing } = this;
         this.contactAt = Math.max(this.contactAt, sentAt);
-        // A cut may have swallowed the watch: it would wait for its time to be up before it is asked for again.
-        if (failing && !this.failing) this.openWatch?.abort();
+        if (failing && !this.failing) this.renewWatch();
+        this.sight(sentAt, answer);
       }
       return answer;
     } catch (error) {
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -21,7 +21,7 @@
   private entries = new Map<string, Map<string, Entry>>();
   private ends = new Map<string, Entry>();
   private at = 0;
-  private loaded = false;
+  private since: number | undefined;
   private readonly listeners = new Set<ChangeListener>();
 
   constructor(
@@ -31,7 +31,12 @@
   ) {}
 
   get ready(): boolean {
-    return this.loaded;
+    return this.since !== undefined;
+  }
+
+  /** What was committed up to this revision was there before this life of ours read anything. */
+  get firstRevision(): number | undefined {
+    return this.since;
   }
 
   /** All changes up to this revision are in the copy. */
@@ -58,13 +63,14 @@
     for (const pair of this.entries.get(rootOf(prefix)) ?? []) if (pair[0].startsWith(prefix)) yield pair;
   }
 
-  /** What we learned of an end other than by the watch; ends never change, so it may be kept. */
+  /**
+   * What we learned of an end other than by the watch; ends never change, so it may be kept. The listeners hear of it at
+   * once: the watch may not come again for as long as an outage lasts, and a user may have been told by then.
+   */
   learnEnd(key: string, entry: Entry): void {
-    this.ends.set(key, entry);
-    if (this.ends.size > endsKept) {
-      const oldest = this.ends.keys().next();
-      if (!oldest.done) this.ends.delete(oldest.value);
-    }
+    if (this.ends.has(key)) return;
+    this.keepEnd(key, entry);
+    this.notify([{ key, ...entry, deleted: false }]);
   }
 
   /**
@@ -72,7 +78,7 @@
    * may have brought the end of it, too.
    */
   learn(key: string, entry: Entry): void {
-    if (this.loaded && entry.version > this.at) this.apply([{ key, ...entry, deleted: false }], this.at);
+    if (this.ready && entry.version > this.at) this.apply([{ key, ...entry, deleted: false }], this.at);
   }
 
   listen(listener: ChangeListener): () => void {
@@ -106,7 +112,7 @@
     const before = this.entries;
     this.entries = entries;
     this.at = since;
-    this.loaded = true;
+    this.since ??= since;
     this.notify(differences(flat(before), flat(entries)));
   }
 
@@ -129,14 +135,12 @@
   }
 
   private apply(changes: Change[], revision: number): void {
-    // An end may be known before the watch brings it, from our own commit: the listeners still have to hear of it.
-    const fresh = changes.filter(
-      (change) => change.key.startsWith('end/') || change.version > this.version(change.key),
-    );
+    // Of an end that was known before the watch brought it, the listeners have heard.
+    const fresh = changes.filter((change) => change.version > this.version(change.key));
     for (const change of fresh) {
       const entry = { value: change.value, version: change.version };
       if (change.key.startsWith('end/')) {
-        if (!change.deleted) this.learnEnd(change.key, entry);
+        if (!change.deleted) this.keepEnd(change.key, entry);
       } else if (change.deleted) this.entries.get(rootOf(change.key))?.delete(change.key);
       else put(this.entries, change.key, entry);
     }
@@ -144,6 +148,14 @@
     this.notify(fresh);
   }
 
+  private keepEnd(key: string, entry: Entry): void {
+    this.ends.set(key, entry);
+    if (this.ends.size > endsKept) {
+      const oldest = this.ends.keys().next();
+      if (!oldest.done) this.ends.delete(oldest.value);
+    }
+  }
+
   private notify(changes: Change[]): void {
     if (changes.length === 0) return;
     for (const listener of this.listeners) listener(changes);
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -9,6 +9,9 @@
 export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
 export const endKey = (id: string): string => `end/${id}`;
+/** The job whose end the key holds, if it is such a key. */
+export const endedJob = (key: string): string | undefined =>
+  key.startsWith('end/') ? key.slice('end/'.length) : undefined;
 export const ledgerPrefix = (block: number): string => `run/${block}/`;
 export const ledgerKey = (block: number, page: number): string => `${ledgerPrefix(block)}${page}`;
 
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -63,6 +63,12 @@
   };
 }
 
+/** The store's revision when it answered, where the answer names it. */
+export function revisionOf(body: unknown): number | undefined {
+  const revision = isFields(body) ? body['logline'] : undefined;
+  return typeof revision === 'number' ? revision : undefined;
+}
+
 function parseItem(value: unknown): Item | undefined {
   if (!isFields(value)) return undefined;
   return {
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -27,7 +27,8 @@
   tenancy: Tenancy;
   registry: Registry;
   leader: () => string | undefined;
-  storeFailing: () => boolean;
+  /** The store serves us and what we know of it is recent. */
+  mayStart: () => boolean;
   /** Workers may be answered: we know, or our peers do, whom users were told is cancelled. */
   mayAnswer: () => boolean;
   reportMs: number;
@@ -63,14 +64,14 @@
 
   /** The usual report has nothing new and nothing to start: it is answered at once, or held, and costs little else. */
   receive(body: unknown, answer: Answer): void {
-    const { tenancy, storeFailing, mayAnswer, clock, settleMs } = this.ports;
+    const { tenancy, mayStart, mayAnswer, clock, settleMs } = this.ports;
     const report = parseReport(body);
     if (!report) return answer({ status: 400, body: { error: 'not a report' } });
     const tenure = tenancy.find(report.machine);
     if (!tenure) return answer(this.sendOn(report.machine));
     if (!mayAnswer()) return answer({ status: 421, body: redirectAnswer(undefined) });
     const { board, scheduler, machine } = tenure;
-    const result = board.report(machine, report, !storeFailing());
+    const result = board.report(machine, report, mayStart());
     // Somebody has leased the machine after us, and the watch has yet to tell us.
     if (result.verdict === 'outranked') return answer({ status: 421, body: redirectAnswer(undefined) });
     const now = clock();
@@ -95,10 +96,10 @@
    * worker with tasks has news of its own soon, so its answer is held for less.
    */
   private holdOrAnswer(visit: Visit, scheduler: Scheduler): void {
-    const { reportMs, storeFailing } = this.ports;
+    const { reportMs, mayStart } = this.ports;
     const { machine, orders } = visit;
     const quiet = orders.every((order) => order.kind === 'forget') && this.news(visit).length === 0;
-    if (!quiet || storeFailing() || !scheduler.hasRoom(machine)) return this.finish(visit);
+    if (!quiet || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(visit);
     const share = machine.tasks.size === 0 ? holdShares.empty : holdShares.busy;
     this.holds.add(machine, reportMs * share, () => this.finish(visit));
   }
@@ -114,11 +115,16 @@
       machine.seq === seq &&
       machine.releasing === '' &&
       !late &&
-      !this.ports.storeFailing();
-    const orders = valid ? [...visit.orders, ...this.news(visit)] : visit.orders;
-    for (const order of orders) {
-      const task = order.kind === 'start' ? machine.tasks.get(taskKey(order)) : undefined;
-      if (task) task.orderedAt ??= now;
+      this.ports.mayStart();
+    const orders: Order[] = [];
+    for (const order of valid ? [...visit.orders, ...this.news(visit)] : visit.orders) {
+      if (order.kind === 'start') {
+        // While the answer was held its job may have ended, and what may be told to start now was said then.
+        const task = machine.tasks.get(taskKey(order));
+        if (!valid || task?.phase !== 'placed' || task.attempt !== order.attempt || task.job.ended) continue;
+        task.orderedAt ??= now;
+      }
+      orders.push(order);
     }
     answer({ status: 200, body: reportAnswer(token, this.gather(machine, orders, now)) });
   }
