Stand-ins that bring troubles about, and a checker of every rule that trusts no controller

The checker judges a history of what ran and what users were told; for each rule a made-up history that breaks it is caught. The cluster's own check of double starts is replaced by the checker's, which sees more.

--- a/src/controller.test.ts
+++ b/src/controller.test.ts
@@ -5,13 +5,7 @@
 // The whole service against stand-ins: what a user sees, and what must hold when parts of it fail.
 describe('three controllers', () => {
   const cluster = new Cluster({ port: 21_000, taskMs: 600 });
-  before(async () => {
-    await cluster.start();
-    await cluster.until('all controllers are up', async () => {
-      const answers = await Promise.all([0, 1, 2].map((node) => cluster.user(node, 'GET', '/up')));
-      return answers.every((answer) => answer.status === 200);
-    });
-  });
+  before(() => cluster.start());
   after(() => cluster.stop());
 
   test('a job is accepted, runs to its end and stays done on every controller', async () => {
@@ -148,7 +142,9 @@
   });
 
   test('through all of this no task was started twice at a time', () => {
-    assert.deepEqual(cluster.violations, []);
+    const twice = cluster.violations().filter((violation) => violation.startsWith('ran_twice'));
+    assert.deepEqual(twice, []);
+    assert.ok(cluster.history.happenings.some(({ kind }) => kind === 'started'));
     assert.equal(cluster.store.refusals, 0);
   });
 });
--- /dev/null
+++ b/src/testing/checker.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { type CheckFacts, check } from './checker.js';
+import type { Dated, Happening, JobFacts, Told } from './history.js';
+
+const job: JobFacts = {
+  ...{ team: 'red', tasks: 2, cpus: 4, types: null, zone: null, oneZone: false, spread: false, spot: false },
+};
+const facts: CheckFacts = {
+  limits: new Map([['red', 8]]),
+  ...{ cancelMs: 5000, startGraceMs: 500, forgottenMs: 7500, waitsMs: 9000, calmAt: 0, endsAt: 7000 },
+};
+
+/** A history in which a happening comes every 100 ms, or at the time given. */
+function rulesOf(happenings: (Happening & { at?: number })[], change: Partial<CheckFacts> = {}): string[] {
+  const dated = happenings.map((happening, i): Dated => ({ ...happening, at: happening.at ?? i * 100 }));
+  return check(dated, { ...facts, ...change }).map(({ rule, subject }) => `${rule} ${subject}`);
+}
+
+const machine = (id: string, zone = 'a', spot = false, type = 'c8'): Happening => {
+  return { kind: 'machine', machine: id, type, zone, spot };
+};
+const submitted = (id: string, change: Partial<JobFacts> = {}): Happening => {
+  return { kind: 'submitted', id, job: { ...job, ...change } };
+};
+const told = (id: string, by: 'submission' | 'question' | 'cancel', what: Told): Happening => {
+  return { kind: 'told', id, by, what };
+};
+const started = (task: string, on: string): Happening => ({ kind: 'started', task, machine: on });
+const left = (task: string, on: string, completed = false): Happening => {
+  return { kind: 'left', task, machine: on, completed };
+};
+const ground: Happening[] = [
+  machine('m1'),
+  machine('m2', 'b'),
+  submitted('a'),
+  told('a', 'submission', 'pending'),
+];
+
+describe('a made-up history that breaks a rule is caught', () => {
+  const caught = (name: string, happenings: (Happening & { at?: number })[], expected: string[]): void => {
+    test(name, () => assert.deepEqual(rulesOf([...ground, ...happenings]), expected));
+  };
+  caught(
+    'none is broken',
+    [
+      ...[started('a/0', 'm1'), started('a/1', 'm2'), left('a/0', 'm1'), started('a/0', 'm2')],
+      ...[left('a/0', 'm2', true), told('a', 'question', 'running'), left('a/1', 'm2', true)],
+      ...[told('a', 'question', 'done'), told('a', 'submission', 'done'), told('b', 'question', 'unknown')],
+    ],
+    [],
+  );
+  caught('ran_twice', [started('a/0', 'm1'), started('a/0', 'm2')], ['ran_twice a/0']);
+  caught(
+    'quota',
+    [submitted('b', { tasks: 3 }), ...['b/0', 'b/1', 'b/2'].map((t) => started(t, 'm1'))],
+    ['quota b/2'],
+  );
+  const bound = (change: Partial<JobFacts>): Happening => submitted('b', { ...change, tasks: 3, cpus: 1 });
+  caught('wrong_place: type', [bound({ types: ['g8'] }), started('b/0', 'm1')], ['wrong_place b/0']);
+  caught('wrong_place: zone', [bound({ zone: 'b' }), started('b/0', 'm1')], ['wrong_place b/0']);
+  caught(
+    'wrong_place: kind',
+    [machine('m3', 'a', true), bound({}), started('b/0', 'm3')],
+    ['wrong_place b/0'],
+  );
+  caught(
+    'wrong_place: one zone',
+    [bound({ oneZone: true }), started('b/0', 'm1'), started('b/1', 'm2')],
+    ['wrong_place b/1'],
+  );
+  caught(
+    'wrong_place: apart',
+    [bound({ spread: true }), started('b/0', 'm1'), started('b/1', 'm1'), started('b/2', 'm1')],
+    ['wrong_place b/2'],
+  );
+  const cancelled: Happening[] = [{ kind: 'asked to cancel', id: 'a' }, told('a', 'cancel', 'cancelled')];
+  caught(
+    'ran_cancelled: it stays',
+    [started('a/0', 'm1'), ...cancelled, { ...left('a/0', 'm1'), at: 5601 }],
+    ['ran_cancelled a/0'],
+  );
+  caught('ran_cancelled: it never leaves', [started('a/0', 'm1'), ...cancelled], ['ran_cancelled a/0']);
+  caught(
+    'ran_cancelled: it starts late',
+    [...cancelled, { ...started('a/0', 'm1'), at: 6000 }, { ...left('a/0', 'm1'), at: 6100 }],
+    ['ran_cancelled a/0'],
+  );
+  caught(
+    'a start after a confirmed cancellation',
+    [...cancelled, { ...started('a/0', 'm1'), at: 1100 }, { ...left('a/0', 'm1'), at: 1200 }],
+    ['started_cancelled a/0'],
+  );
+  caught('gone in time', [started('a/0', 'm1'), ...cancelled, { ...left('a/0', 'm1'), at: 5599 }], []);
+  caught('forgotten: unknown', [started('a/0', 'm1'), told('a', 'question', 'unknown')], ['forgotten a']);
+  caught('forgotten: refused', [started('a/0', 'm1'), told('a', 'submission', 'refused')], ['forgotten a']);
+  caught(
+    'forgotten: no question is answered',
+    [
+      ...[submitted('b'), told('b', 'submission', 'pending'), started('a/0', 'm1'), started('b/0', 'm2')],
+      { ...told('a', 'question', 'turned away'), at: 1000 },
+      { ...told('b', 'question', 'running'), at: 8000 },
+      { ...told('a', 'question', 'turned away'), at: 8501 },
+    ],
+    ['forgotten a'],
+  );
+  caught('invented', [started('a/0', 'm1'), told('z', 'question', 'pending')], ['invented z']);
+  caught(
+    'not_done',
+    [started('a/0', 'm1'), left('a/0', 'm1', true), told('a', 'question', 'done')],
+    ['not_done a'],
+  );
+  caught('went_back: from cancelled', [...cancelled, told('a', 'question', 'pending')], ['went_back a']);
+  caught('went_back: nobody asked', [told('a', 'question', 'cancelled')], ['went_back a']);
+  caught(
+    'went_back: from done',
+    [
+      ...[started('a/0', 'm1'), started('a/1', 'm1'), left('a/0', 'm1', true), left('a/1', 'm1', true)],
+      ...[told('a', 'question', 'done'), told('a', 'submission', 'pending')],
+    ],
+    ['went_back a'],
+  );
+  caught(
+    'a job that lacks a field is accepted',
+    [
+      started('a/0', 'm1'),
+      { kind: 'submitted', id: 'b', job: undefined },
+      told('b', 'submission', 'pending'),
+    ],
+    ['accepted_bad b'],
+  );
+  test('a job is left waiting beside room', () => {
+    assert.deepEqual(rulesOf(ground, { endsAt: 9301 }), ['left_waiting a']);
+    assert.deepEqual(rulesOf(ground, { endsAt: 9301, calmAt: 1000 }), []);
+  });
+});
--- a/src/testing/cloud-standin.ts
+++ b/src/testing/cloud-standin.ts
@@ -17,8 +17,17 @@
   readonly rentals = new Map<string, string[]>();
   /** Machines that a zone has to give, by kind. */
   capacity = 4;
+  /** The list tells what was so long ago. */
+  listLagMs = 0;
+  /** The next so many rentals are carried out and answered to nobody. */
+  losesRentals = 0;
+  /** The next so many releases are answered to nobody and carried out that much later. */
+  lateReleases = { count: 0, ms: 0 };
+  /** 503 for every request, as in an outage. */
+  down = false;
   onRent: (machine: RentedMachine) => void = () => undefined;
   onRelease: (id: string) => void = () => undefined;
+  private readonly lately = new Map<string, { machine: RentedMachine; goneAt: number }>();
   private serial = 0;
   private readonly server: Server;
 
@@ -41,21 +50,46 @@
     const bytes = Buffer.concat(chunks);
     const body = bytes.length > 0 ? decodeFields(bytes) : {};
     const path = new URL(request.url ?? '/', 'http://cloud').pathname;
+    if (this.down) return reply(response, 503, { error: 'trouble' });
     if (path === '/machine_types') return reply(response, 200, { hulls: [machineType] });
     if (path === '/rentals/release') {
-      for (const id of list(body['hosts']).map((h) => text(h))) {
-        if (!this.machines.delete(id)) continue;
-        this.released.push(id);
-        this.onRelease(id);
+      const hosts = list(body['hosts']).map((h) => text(h));
+      if (this.lateReleases.count > 0) {
+        this.lateReleases.count--;
+        setTimeout(() => this.release(hosts), this.lateReleases.ms).unref();
+        return void response.destroy();
       }
+      this.release(hosts);
       return reply(response, 200, {});
     }
     if (request.method === 'GET') return reply(response, 200, { hosts: this.listing(), hasNext: false });
     this.rent(body, response);
   }
 
+  /** Stops on its own, with all that is on it; the list goes on naming it for a while. */
+  die(id: string): void {
+    this.onRelease(id);
+  }
+
+  private release(hosts: string[]): void {
+    for (const id of hosts) {
+      const machine = this.machines.get(id);
+      if (!machine) continue;
+      this.machines.delete(id);
+      this.lately.set(id, { machine, goneAt: Date.now() });
+      this.released.push(id);
+      this.onRelease(id);
+    }
+  }
+
   private listing(): Fields[] {
-    return [...this.machines.values()].map((m) => ({
+    const asOf = Date.now() - this.listLagMs;
+    const gone = [...this.lately.values()]
+      .filter(({ goneAt }) => goneAt > asOf)
+      .map(({ machine }) => machine);
+    const listed = [...this.machines.values(), ...gone].filter((m) => m.rentedAt <= asOf);
+    listed.sort((a, b) => (a.id < b.id ? -1 : 1));
+    return listed.map((m) => ({
       id: m.id,
       endpoint: '127.0.0.1:1',
       hull: m.type,
@@ -84,6 +118,10 @@
       this.onRent(machine);
     }
     this.rentals.set(name, hosts);
+    if (this.losesRentals > 0) {
+      this.losesRentals--;
+      return void response.destroy();
+    }
     reply(response, 200, { hosts });
   }
 }
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,53 +1,95 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { HttpPeer, type Answer } from '../base/http.js';
 import { silentLog } from '../base/log.js';
 import { Controller } from '../controller.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
-import { CloudStandIn, type RentedMachine } from './cloud-standin.js';
+import { check } from './checker.js';
+import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
+import { History, type JobFacts, type Told } from './history.js';
+import { Link } from './link.js';
 import { testSettings } from './settings.js';
 import { StoreStandIn } from './store-standin.js';
 import { WorkerStandIn } from './worker-standin.js';
 
-const labels = ['keel-0', 'keel-1', 'keel-2'];
-const times = { report_s: 0.2, lease_s: 2, cancel_s: 5 };
+export const labels = ['keel-0', 'keel-1', 'keel-2'];
+const zones = ['a', 'b', 'b'];
+/** The deployment's times, scaled: everything that a test waits for is a multiple of them. */
+export const times = { report_s: 0.2, lease_s: 2, cancel_s: 5 };
+export const reportMs = times.report_s * 1000;
+export const leaseMs = times.lease_s * 1000;
+export const cancelMs = times.cancel_s * 1000;
+/** What a user waits for an answer, and what the protocol allows for a job about which nothing is answered, likewise. */
+const forgottenMs = 1.5 * cancelMs;
+const userMs = 5000;
+/** Red may use less than the machines have, so that its limit is what holds it back. */
+const limits = new Map([['red', 32]]);
 
 export interface ClusterOptions {
   /** The first of a range of ports of its own: test files run side by side. */
   port: number;
-  taskMs: number;
+  taskMs: number | ((piece: string) => number);
+  fetchMs?: number;
+  seed?: number;
+  /** Machines that each zone has to give. */
+  capacity?: number;
 }
 
 /** Three controllers in this process, with stand-ins for all that is outside. */
 export class Cluster {
-  readonly store = new StoreStandIn({ rps: 400, writeRps: 200, txnOps: 20 });
+  readonly store: StoreStandIn;
   readonly cloud = new CloudStandIn();
   readonly workers = new Map<string, WorkerStandIn>();
-  /** Every broken rule that the book of starts shows. */
-  readonly violations: string[] = [];
+  readonly history = new History();
+  /** Zones that are cut off from all that is outside of them. */
+  readonly cutZones = new Set<string>();
+  /** Called as a task completes, before anybody has heard of it. */
+  onDone: (piece: string) => void = () => undefined;
+  private calmAt = Date.now();
   private readonly running = new Map<string, AbortController>();
   private readonly users: HttpPeer[];
+  private readonly links = new Map<string, Link>();
+  private readonly random: () => number;
 
   constructor(private readonly options: ClusterOptions) {
-    this.users = labels.map((_, i) => new HttpPeer(this.address(i, 0), 4));
+    const generator = xoroshiro128plus(options.seed ?? 1);
+    this.random = () => uniformFloat64(generator);
+    this.store = new StoreStandIn({ rps: 400, writeRps: 200, txnOps: 20 }, options.seed);
+    this.users = labels.map((_, i) => new HttpPeer(this.address(i, 0), 16));
+    this.cloud.capacity = options.capacity ?? this.cloud.capacity;
     this.cloud.onRent = (machine) => this.boot(machine);
     this.cloud.onRelease = (id) => this.takeAway(id);
   }
 
+  /** Starts everything and waits until users are served everywhere. */
   async start(): Promise<void> {
     const { port } = this.options;
-    await Promise.all([this.store.listen(port), this.cloud.listen(port + 1)]);
+    await Promise.all([
+      ...labels.map((label, i) => this.store.listen(port + i, label)),
+      this.cloud.listen(port + 5),
+      ...labels.flatMap((from, i) => labels.flatMap((to, j) => (i === j ? [] : [this.connect(from, to)]))),
+    ]);
     for (const label of labels) this.startController(label);
+    await this.until('all controllers are up', async () => {
+      const answers = await Promise.all([0, 1, 2].map((node) => this.user(node, 'GET', '/up')));
+      return answers.every((answer) => answer.status === 200);
+    });
   }
 
   startController(label: string): void {
     const { port } = this.options;
     const index = labels.indexOf(label);
     const others = labels
-      .map((other, i) => ({ label: other, location: i === 0 ? 'a' : 'b', address: this.address(i, 1) }))
+      .map((other, i) => ({
+        label: other,
+        location: zones[i],
+        address: `127.0.0.1:${this.linkPort(index, i)}`,
+      }))
       .filter((other) => other.label !== label);
     const settings = testSettings((file) => {
-      Object.assign(file, { label, location: index === 0 ? 'a' : 'b', others });
+      Object.assign(file, { label, location: zones[index], others });
       Object.assign(file, { serve_on: this.address(index, 0), back: this.address(index, 1) });
-      file['endpoints'] = { state: `127.0.0.1:${port}`, cloud: `127.0.0.1:${port + 1}` };
+      file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
       const inner = file['settings'] as Record<string, unknown>;
       inner['workers'] = times;
       inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20 };
@@ -58,19 +100,94 @@
     void new Controller(settings, defaultOperatorSettings, silentLog, stop.signal).run();
   }
 
+  /** As with no signal: nothing is said to anybody, its connections end. */
   stopController(label: string): void {
     this.running.get(label)?.abort();
     this.running.delete(label);
   }
 
+  /** Ended and back within a fraction of a second, with the life before still on record. */
+  async restart(label: string, afterMs = 100): Promise<void> {
+    this.stopController(label);
+    await pause(afterMs);
+    this.startController(label);
+  }
+
   leader(): string {
     return String((this.store.value('lead') as { label?: string } | undefined)?.label);
   }
 
+  /** The controller that a machine's block is leased to. */
+  ownerOf(machine: string): string {
+    for (const [key, { value }] of this.store.keys) {
+      const block = value as { owner?: string; machines?: [string][] };
+      if (key.startsWith('sk/block/') && block.machines?.some(([id]) => id === machine))
+        return String(block.owner);
+    }
+    return '';
+  }
+
+  /** The link over which one controller tells the other of itself. */
+  link(from: string, to: string): Link {
+    const link = this.links.get(`${from}>${to}`);
+    if (!link) throw new Error(`no link from ${from} to ${to}`);
+    return link;
+  }
+
+  /** Both ways between a controller and all its peers. */
+  peersOf(label: string): Link[] {
+    return [...this.links].filter(([key]) => key.split('>').includes(label)).map(([, link]) => link);
+  }
+
   user(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
     const user = this.users[node];
     if (!user) throw new Error(`no controller ${node}`);
-    return user.exchange(method, path, body, { timeoutMs: 5000 });
+    return user.exchange(method, path, body, { timeoutMs: userMs });
+  }
+
+  /** One try of a submission. */
+  async submit(node: number, job: Submission): Promise<number> {
+    const { id } = job;
+    this.history.add({ kind: 'submitted', id: String(id), job: factsOf(job) });
+    const { status, body } = await this.try(node, 'POST', '/v2/runs', job);
+    const accepted = status === 200 || status === 201;
+    const what = accepted ? toldIn(body) : status === 400 || status === 422 ? 'refused' : 'turned away';
+    this.history.add({ kind: 'told', id: String(id), by: 'submission', what });
+    return status;
+  }
+
+  async ask(node: number, id: string): Promise<Told> {
+    const { status, body } = await this.try(node, 'GET', `/v2/runs/${id}`);
+    const what = status === 200 ? toldIn(body) : status === 404 ? 'unknown' : 'turned away';
+    this.history.add({ kind: 'told', id, by: 'question', what });
+    return what;
+  }
+
+  async cancel(node: number, id: string): Promise<Told> {
+    this.history.add({ kind: 'asked to cancel', id });
+    const { status, body } = await this.try(node, 'POST', `/v2/runs/${id}/cancel`, {});
+    const what = status === 200 ? toldIn(body) : status === 404 ? 'unknown' : 'turned away';
+    this.history.add({ kind: 'told', id, by: 'cancel', what });
+    return what;
+  }
+
+  /** As users do: tries one controller after the other until it is accepted. */
+  async submitSurely(job: Submission, from = 0): Promise<void> {
+    let node = from;
+    await this.until(`${String(job.id)} is accepted`, async () => {
+      const status = await this.submit(node++ % 3, job);
+      return status === 200 || status === 201;
+    });
+  }
+
+  async cancelSurely(id: string, nodes: number[] = [0, 1, 2]): Promise<Told> {
+    let told: Told = 'turned away';
+    let at = 0;
+    await this.until(`${id} is ended`, async () => {
+      told = await this.cancel(nodes[at++ % nodes.length] ?? 0, id);
+      return told === 'cancelled' || told === 'done';
+    });
+    return told;
   }
 
   /** As users do: asks again until the answer is what they wait for. */
@@ -79,7 +196,22 @@
     for (;;) {
       if (await Promise.resolve(ask()).catch(() => false)) return;
       if (Date.now() > deadline) throw new Error(`not within ${withinMs} ms: ${what}`);
-      await new Promise((resolve) => setTimeout(resolve, 50));
+      await pause(50);
+    }
+  }
+
+  /** All troubles are over: whatever is accepted and not cancelled comes to its end, and every controller says so. */
+  async allDone(ids: string[], withinMs = 25_000): Promise<void> {
+    this.calmAt = Date.now();
+    for (const id of ids) {
+      await this.until(
+        `${id} is done for all`,
+        async () => {
+          const told = await Promise.all([0, 1, 2].map((node) => this.ask(node, id)));
+          return told.every((what) => what === 'done');
+        },
+        withinMs,
+      );
     }
   }
 
@@ -88,27 +220,65 @@
     return answer.status === 200 ? String((answer.body as { status: string }).status) : String(answer.status);
   }
 
+  /** Tasks of the job that are on machines, as the machines know. */
+  runningOf(id: string): string[] {
+    return [...this.workers.values()].flatMap((w) => w.running.filter((p) => p.startsWith(`${id}/`)));
+  }
+
+  /** Every broken rule so far. */
+  violations(): string[] {
+    const found = check(this.history.happenings, {
+      ...{ limits, cancelMs, startGraceMs: leaseMs / 2, forgottenMs, waitsMs: 2 * cancelMs },
+      ...{ calmAt: this.calmAt, endsAt: Date.now() },
+    });
+    return found.map(({ rule, subject }) => `${rule} ${subject}`);
+  }
+
   stop(): void {
     for (const stop of this.running.values()) stop.abort();
     for (const worker of this.workers.values()) worker.end();
     for (const user of this.users) user.close();
+    for (const link of this.links.values()) link.close();
     this.store.close();
     this.cloud.close();
   }
 
+  private async try(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
+    return this.user(node, method, path, body).catch(() => ({ status: 0, body: undefined }));
+  }
+
   private address(node: number, kind: 0 | 1): string {
     return `127.0.0.1:${this.options.port + 10 + node * 2 + kind}`;
   }
 
+  private linkPort(from: number, to: number): number {
+    return this.options.port + 20 + from * 3 + to;
+  }
+
+  private connect(from: string, to: string): Promise<void> {
+    const [i, j] = [labels.indexOf(from), labels.indexOf(to)];
+    const link = new Link(this.options.port + 10 + j * 2 + 1);
+    this.links.set(`${from}>${to}`, link);
+    return link.listen(this.linkPort(i, j));
+  }
+
   private boot(machine: RentedMachine): void {
+    const { taskMs, fetchMs } = this.options;
+    const { id, type, zone, spot } = machine;
+    this.history.add({ kind: 'machine', machine: id, type, zone, spot });
     const worker = new WorkerStandIn(machine, {
-      reportMs: times.report_s * 1000,
-      leaseMs: times.lease_s * 1000,
-      taskMs: this.options.taskMs,
+      ...{ reportMs, leaseMs, answerMs: leaseMs / 2, fetchMs: fetchMs ?? 0, saveMs: 0 },
+      taskMs: typeof taskMs === 'number' ? () => taskMs : taskMs,
       nodes: labels.map((label, i) => ({ label, address: this.address(i, 0) })),
-      onStart: (piece, on) => this.book(piece, on),
+      reaches: (from, label) => {
+        const to = zones[labels.indexOf(label)] ?? '';
+        return from === to || !(this.cutZones.has(from) || this.cutZones.has(to));
+      },
+      history: this.history,
+      random: this.random,
+      onDone: (piece) => this.onDone(piece),
     });
-    this.workers.set(machine.id, worker);
+    this.workers.set(id, worker);
     void worker.run();
   }
 
@@ -116,20 +286,11 @@
     this.workers.get(id)?.end();
     this.workers.delete(id);
   }
-
-  private book(piece: string, on: string): void {
-    const elsewhere = [...this.workers.values()].find(
-      (w) => w.machine.id !== on && w.running.includes(piece),
-    );
-    if (elsewhere) this.violations.push(`${piece} runs on ${elsewhere.machine.id} and was started on ${on}`);
-  }
 }
 
-export function submission(
-  id: string,
-  tasks: number,
-  change: Record<string, unknown> = {},
-): Record<string, unknown> {
+export type Submission = Record<string, unknown>;
+
+export function submission(id: string, tasks: number, change: Submission = {}): Submission {
   return {
     ...{ id, jobclass: 'batch', owner: 'red', shape: 'sweep', urgency: 'standard', pieces: tasks },
     ...{ cpus: 2.5, accelerators: 0, memoryGb: 4.5, bundle: 'img-1', pullGb: 0.5, hulls: null, berth: null },
@@ -137,3 +298,24 @@
     ...change,
   };
 }
+
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function toldIn(body: unknown): Told {
+  return (body as { status: Told }).status;
+}
+
+const fields = Object.keys(submission('', 0));
+
+/** What a submission asks for; none where it lacks a field or asks for what no machine has. */
+function factsOf(job: Submission): JobFacts | undefined {
+  const whole = fields.every((field) => field in job);
+  if (!whole || Number(job['cpus']) > machineType.cpus) return undefined;
+  return {
+    ...{ team: String(job['owner']), tasks: Number(job['pieces']), cpus: Number(job['cpus']) },
+    ...{ types: job['hulls'] as string[] | null, zone: job['berth'] as string | null },
+    ...{ oneZone: job['together'] === true, spread: job['apart'] === true, spot: job['loaners'] === true },
+  };
+}
--- /dev/null
+++ b/src/testing/history.ts
@@ -0,0 +1,37 @@
+/** What a user was told of a job, or that the request came to nothing. */
+export type Told = 'pending' | 'running' | 'done' | 'cancelled' | 'unknown' | 'turned away' | 'refused';
+
+/** What happened, as the stand-ins themselves know it: no controller's word is taken for it. */
+export type Happening =
+  /** A submission as its user sent it; `job` is what it asks for, where it is valid. */
+  | { kind: 'submitted'; id: string; job: JobFacts | undefined }
+  | { kind: 'asked to cancel'; id: string }
+  /** `by`: submissions are accepted or refused, questions and cancels are answered. */
+  | { kind: 'told'; id: string; by: 'submission' | 'question' | 'cancel'; what: Told }
+  /** It has its image: it is on the machine from now on. */
+  | { kind: 'started'; task: string; machine: string }
+  | { kind: 'left'; task: string; machine: string; completed: boolean }
+  | { kind: 'machine'; machine: string; type: string; zone: string; spot: boolean };
+
+export interface JobFacts {
+  team: string;
+  tasks: number;
+  cpus: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+}
+
+export type Dated = Happening & { at: number };
+
+export class History {
+  readonly happenings: Dated[] = [];
+
+  constructor(private readonly clock: () => number = Date.now) {}
+
+  add(happening: Happening): void {
+    this.happenings.push({ ...happening, at: this.clock() });
+  }
+}
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -1,4 +1,6 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { decodeFields, encode, isFields, list, number, text, type Fields } from '../wire/codec.js';
 
 interface Stored {
@@ -8,38 +10,58 @@
 }
 
 /**
- * A stand-in for the state service, written from the protocol: versions, conditions, grants, watches, limits. It can
- * refuse everyone or hold an answer back while carrying the request out.
+ * A stand-in for the state service, written from the protocol: versions, conditions, grants, watches, limits. Each client
+ * has a port of its own, so that one of them alone can be refused or cut off.
  */
 export class StoreStandIn {
   revision = 0;
   readonly keys = new Map<string, Stored>();
   /** 503 for every request, as in an outage. */
   down = false;
+  /** These alone get 503; their watches wait and their grants run out. */
+  readonly refused = new Set<string>();
+  /** What these send is held back, and delivered when their cut is over: carried out late, and answered to nobody. */
+  readonly held = new Set<string>();
+  /** How long every answer takes. */
+  delayMs = 0;
   /** Carries the next commits out and never answers: their fate is unknown to whoever sent them. */
   losesAnswers = 0;
+  /** This share of the transactions that write gets no answer and is carried out that much later, after newer ones. */
+  late: { share: number; fromMs: number; toMs: number } | undefined;
+  /** How many were. */
+  carriedOutLate = 0;
   refusals = 0;
   private readonly changes: Fields[] = [];
   private readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
   private nextLease = 1;
   private readonly waiters = new Set<() => void>();
-  private readonly server: Server;
+  private readonly servers: Server[] = [];
   private readonly timer: NodeJS.Timeout;
   private seconds = { at: 0, requests: 0, writes: 0 };
 
-  constructor(private readonly limits: { rps: number; writeRps: number; txnOps: number }) {
-    this.server = createServer((request, response) => void this.serve(request, response));
+  private readonly random: () => number;
+
+  constructor(
+    private readonly limits: { rps: number; writeRps: number; txnOps: number },
+    seed = 1,
+  ) {
+    const generator = xoroshiro128plus(seed);
+    this.random = () => uniformFloat64(generator);
     this.timer = setInterval(() => this.expire(), 20);
   }
 
-  listen(port: number): Promise<void> {
-    return new Promise((resolve) => this.server.listen(port, '127.0.0.1', () => resolve()));
+  listen(port: number, client = ''): Promise<void> {
+    const server = createServer((request, response) => void this.serve(request, response, client));
+    this.servers.push(server);
+    return new Promise((resolve) => server.listen(port, '127.0.0.1', () => resolve()));
   }
 
   close(): void {
     clearInterval(this.timer);
-    this.server.closeAllConnections();
-    this.server.close();
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** For assertions: the value of a key, below our root. */
@@ -47,20 +69,38 @@
     return this.keys.get(`sk/${key}`)?.value;
   }
 
-  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async serve(request: IncomingMessage, response: ServerResponse, client: string): Promise<void> {
     const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return;
+    }
     const bytes = Buffer.concat(chunks);
     const url = new URL(request.url ?? '/', 'http://store');
     const body = bytes.length > 0 ? decodeFields(bytes) : {};
-    if (this.down) return reply(response, 503, {});
+    while (this.held.has(client)) await pause(20);
+    if (this.delayMs > 0) await pause(this.delayMs / 2);
+    if (this.down || this.refused.has(client)) return reply(response, 503, {});
     if (!this.admit('requests', 1, this.limits.rps)) return reply(response, 429, {});
-    if (url.pathname === '/changes') return this.watch(url, response);
+    if (url.pathname === '/changes') return this.watch(url, response, client);
+    if (url.pathname === '/commit' && this.late && list(body['writes']).length > 0) {
+      const { share, fromMs, toMs } = this.late;
+      if (this.random() < share) {
+        await pause(fromMs + this.random() * (toMs - fromMs));
+        while (this.down) await pause(20);
+        if (this.commit(body)[0] === 200) this.carriedOutLate++;
+        return void response.destroy();
+      }
+    }
     const [status, answer] = this.answer(request.method ?? 'GET', url, body);
     if (url.pathname === '/commit' && status === 200 && this.losesAnswers > 0) {
       this.losesAnswers--;
       return void response.destroy();
     }
+    if (this.delayMs > 0) await pause(this.delayMs / 2);
+    // The cut began meanwhile: the answer goes nowhere.
+    while (this.held.has(client)) await pause(20);
     reply(response, status, answer);
   }
 
@@ -160,20 +200,25 @@
     for (const waiter of [...this.waiters]) waiter();
   }
 
-  private watch(url: URL, response: ServerResponse): void {
+  private watch(url: URL, response: ServerResponse, client: string): void {
     const prefix = url.searchParams.get('prefix') ?? '';
     const since = Number(url.searchParams.get('since'));
     const until = Date.now() + Number(url.searchParams.get('holdMs') ?? 0);
+    let timer: NodeJS.Timeout;
     const attempt = (): void => {
+      // In an outage, or while this client alone is refused or cut off, its open watches wait.
+      const blocked = this.down || this.refused.has(client) || this.held.has(client);
       const news = this.changes.filter(
         (c) => number(c['stamp']) > since && text(c['set'] ?? c['drop']).startsWith(prefix),
       );
-      if ((news.length === 0 || this.down) && Date.now() < until) return;
-      this.waiters.delete(attempt);
       clearTimeout(timer);
+      if (blocked || (news.length === 0 && Date.now() < until)) {
+        timer = setTimeout(attempt, blocked ? 20 : Math.max(0, until - Date.now()) + 5);
+        return;
+      }
+      this.waiters.delete(attempt);
       reply(response, 200, { logline: this.revision, news });
     };
-    const timer = setTimeout(attempt, Math.max(0, until - Date.now()) + 5);
     this.waiters.add(attempt);
     response.on('close', () => {
       clearTimeout(timer);
@@ -183,7 +228,12 @@
   }
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 export function reply(response: ServerResponse, status: number, body: unknown): void {
+  if (response.destroyed) return;
   response.writeHead(status, { 'content-type': 'application/msgpack' });
   response.end(encode(body));
 }
