Peers understand each other: the reader of their links made maps of what was sent as objects

Since the first link every status arrived and was dropped unread, so no word of a peer was ever in force: nothing was extended in an outage, nobody was let go while peers were served, no machine was known to be up before its usual boot time was over.

--- /dev/null
+++ b/src/meetings/leaders.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import { type Cluster, labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
+import { scenario } from '../testing/scenario.js';
+
+const nodeOf = (label: string): number => labels.indexOf(label);
+
+async function leads(cluster: Cluster, not: string): Promise<void> {
+  await cluster.until('another leads', () => labels.includes(cluster.leader()) && cluster.leader() !== not);
+}
+
+// Guards against two lives that both command, and against tasks that the short-lived owners in between leave uncounted.
+scenario(
+  'controllers hand over and back, all end, and one returns, within a second',
+  { port: 22_000, taskMs: 800 },
+  async (cluster) => {
+    const ids = ['req-000001', 'req-000002', 'req-000003'];
+    for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 4), i);
+    const first = cluster.leader();
+    cluster.stopController(first);
+    await leads(cluster, first);
+    cluster.startController(first);
+    await cluster.restart(cluster.leader());
+    for (const label of labels) cluster.stopController(label);
+    await pause(150);
+    cluster.startController(first);
+    await pause(300);
+    for (const label of labels) if (label !== first) cluster.startController(label);
+    await cluster.allDone(ids);
+  },
+);
+
+// Guards against a job called done by an owner that counts what the one before had, and against one that never is.
+scenario(
+  'jobs of a few tasks end far apart across a change of leader',
+  { port: 22_040, taskMs: (piece) => [300, 1500, 3500][Number(piece.split('/')[1])] ?? 300 },
+  async (cluster) => {
+    const ids = ['req-000001', 'req-000002', 'req-000003'];
+    for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, i === 0 ? 2 : 3), i);
+    const ended = (): number =>
+      cluster.history.happenings.filter((h) => h.kind === 'left' && h.completed).length;
+    await cluster.until('the first tasks have ended', () => ended() >= 3);
+    const first = cluster.leader();
+    cluster.stopController(first);
+    const asked = nodeOf(first) === 0 ? 1 : 0;
+    await leads(cluster, first);
+    for (const id of ids) await cluster.ask(asked, id);
+    await cluster.until('the second ones have', () => ended() >= 6);
+    cluster.startController(first);
+    await cluster.restart(cluster.leader());
+    for (const id of ids) await cluster.ask(asked, id);
+    await cluster.allDone(ids);
+  },
+);
+
+// Guards against tasks started anew because their machines could not be asked: silence is no evidence.
+scenario(
+  'a leader ends while machines with long tasks cannot be reached, or do not hear the new one',
+  { port: 22_080, taskMs: 3500 },
+  async (cluster) => {
+    await cluster.submitSurely(submission('req-000001', 8));
+    await cluster.until('all tasks run', () => cluster.runningOf('req-000001').length === 8);
+    const [mute = [], deaf = []] = [0, 1].map((half) =>
+      [...cluster.workers.values()].filter((_, i) => i % 2 === half),
+    );
+    for (const worker of mute) worker.mute = true;
+    for (const worker of deaf) worker.deaf = true;
+    const first = cluster.leader();
+    cluster.stopController(first);
+    await leads(cluster, first);
+    await pause(leaseMs / 2);
+    for (const worker of mute) worker.mute = false;
+    await pause(leaseMs);
+    for (const worker of deaf) worker.deaf = false;
+    cluster.startController(first);
+    await cluster.allDone(['req-000001']);
+  },
+);
+
+// Guards against an old task list taken for the present one: it names a token that is no longer in force.
+scenario(
+  'a report is held back until a new leader has acted, and then arrives there',
+  { port: 22_120, taskMs: 2500 },
+  async (cluster) => {
+    await cluster.submitSurely(submission('req-000001', 6));
+    await cluster.submitSurely(submission('req-000002', 6), 1);
+    await cluster.until('tasks run', () => cluster.runningOf('req-000002').length > 0);
+    const first = cluster.leader();
+    const workers = [...cluster.workers.values()].filter((w) => cluster.ownerOf(w.machine.id) === first);
+    assert.ok(workers.length > 0);
+    for (const worker of workers) worker.mute = true;
+    cluster.stopController(first);
+    await leads(cluster, first);
+    await cluster.until('their blocks are leased anew', () =>
+      workers.every(({ machine }) => cluster.ownerOf(machine.id) !== first),
+    );
+    for (const worker of workers) {
+      // From before it had any task, and its last one: neither may be believed.
+      for (const back of [30, 8, 0]) worker.repeat(back, nodeOf(cluster.ownerOf(worker.machine.id)));
+    }
+    await pause(2 * reportMs);
+    for (const worker of workers) worker.mute = false;
+    cluster.startController(first);
+    await cluster.allDone(['req-000001', 'req-000002']);
+  },
+);
+
+// Guards against starts on the word of a ledger that is older than the leases it speaks of.
+scenario(
+  'all controllers are away for longer than a lease',
+  { port: 22_160, taskMs: 1500 },
+  async (cluster) => {
+    const ids = ['req-000001', 'req-000002'];
+    for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 6), i);
+    await cluster.until('tasks run', () => cluster.runningOf('req-000001').length > 0);
+    for (const label of labels) cluster.stopController(label);
+    await pause(leaseMs * 1.3);
+    assert.deepEqual(cluster.runningOf('req-000001'), []);
+    for (const label of labels) cluster.startController(label);
+    await cluster.allDone(ids);
+  },
+);
+
+// Guards against a leader that acts on an earlier one's copy, and against a cluster that ends up with none.
+scenario(
+  'leaders change ten times, also inside an outage',
+  { port: 22_200, taskMs: 1000 },
+  async (cluster) => {
+    const ids = ['req-000001', 'req-000002', 'req-000003'];
+    for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 4), i);
+    for (let change = 0; change < 10; change++) {
+      const first = cluster.leader();
+      if (change === 4) cluster.store.down = true;
+      await cluster.restart(labels.includes(first) ? first : (labels[change % 3] ?? ''), 50);
+      await pause(cluster.store.down ? reportMs : 3 * reportMs);
+      if (change === 6) cluster.store.down = false;
+      for (const [i, id] of ids.entries()) await cluster.ask(i, id);
+    }
+    await cluster.allDone(ids);
+  },
+);
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -56,6 +56,8 @@
 const remembered = 120;
 /** A link that has been silent for so many statuses is dead; its sender dials again. */
 const silentStatuses = 20;
+/** Both ends must agree: a reader with the library's defaults gets a Map, of which no field can be read. */
+const packing = { useRecords: false };
 
 /**
  * Links between controllers. Each status echoes the last serial number heard from its receiver, which dates it: a
@@ -147,7 +149,7 @@
         done();
       },
     });
-    await pipeline(socket, new UnpackrStream(), handle, { signal }).catch((error: unknown) =>
+    await pipeline(socket, new UnpackrStream(packing), handle, { signal }).catch((error: unknown) =>
       this.ports.log.debug({ event: 'peer-link-lost', err: error }, 'incoming peer link ended'),
     );
   }
@@ -161,7 +163,7 @@
         objectMode: true,
         highWaterMark: 1,
       });
-      await pipeline(statuses, new PackrStream({ useRecords: false }), socket, { signal });
+      await pipeline(statuses, new PackrStream(packing), socket, { signal });
     } catch (error) {
       this.ports.log.debug({ event: 'peer-link-lost', peer: label, err: error }, 'outgoing peer link ended');
     } finally {
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,9 +1,10 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { HttpPeer, type Answer } from '../base/http.js';
-import { silentLog } from '../base/log.js';
+import { createLog, silentLog } from '../base/log.js';
 import { Controller } from '../controller.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
+import { parseBlock } from '../wire/records.js';
 import { check } from './checker.js';
 import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
 import { History, type JobFacts, type Told } from './history.js';
@@ -97,7 +98,10 @@
     });
     const stop = new AbortController();
     this.running.set(label, stop);
-    void new Controller(settings, defaultOperatorSettings, silentLog, stop.signal).run();
+    // Who looks for a cause sets LOG_LEVEL, as for the service itself.
+    const level = process.env['LOG_LEVEL'];
+    const log = level === undefined ? silentLog : createLog(label, level);
+    void new Controller(settings, defaultOperatorSettings, log, stop.signal).run();
   }
 
   /** As with no signal: nothing is said to anybody, its connections end. */
@@ -119,10 +123,9 @@
 
   /** The controller that a machine's block is leased to. */
   ownerOf(machine: string): string {
-    for (const [key, { value }] of this.store.keys) {
-      const block = value as { owner?: string; machines?: [string][] };
-      if (key.startsWith('sk/block/') && block.machines?.some(([id]) => id === machine))
-        return String(block.owner);
+    for (const [key, { value, version }] of this.store.keys) {
+      const block = key.startsWith('sk/block/') ? parseBlock(value, version) : undefined;
+      if (block?.machines.some(({ id }) => id === machine)) return block.owner;
     }
     return '';
   }
