Take back what waits in a full block; machines gone between two terms are missed; own losses reach the own leader

The leader now takes waiting tasks back after four report intervals and deals them again; a task whose intent was committed unseen goes back to its block first. A machine let go between two terms was on no list of the new leader and counted for ever; what a leader's own block lost never reached its fleet. A malformed repetition of an accepted job gets the job's state.

--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
-import { Census } from '../placement/census.js';
+import { Census, type CensusEntry } from '../placement/census.js';
 import { OrderOfWork, type Queued } from '../placement/order.js';
 import { testSettings } from '../testing/settings.js';
 import { machineType } from '../testing/cloud-standin.js';
@@ -9,6 +9,7 @@
 import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
 import { type LeaseFacts, nextBlocks } from './leasing.js';
 import { Rooms, mergeParts, undealt } from './rooms.js';
+import { restore, takeBack } from './rebalance.js';
 import { nextShares } from './shares.js';
 
 const machine = (id: string, zone = 'a', change: Partial<LeasedMachine> = {}): LeasedMachine => ({
@@ -216,3 +217,41 @@
   assert.ok(some > without && some <= without * 2, `${some} of ${without}`);
   assert.equal(much, without * 2);
 });
+
+const entry = (at: number, active: number[], done: number[] = []): CensusEntry => ({
+  ...{ id: 'req-1', chunk: 0, team: 'red', cpus: 1, accelerators: 0, memoryGb: 1, waiting: [], doneCount: 0 },
+  ...{ block: at, active: active.map((index) => [index, 1, 'm1']), done },
+});
+
+// Guards against work that waits in a full block for ever while another block has room for it.
+test('waiting tasks are taken back from the ends of their block, never one that is on a machine or done', () => {
+  const parts = [
+    { block: 0, first: 0, count: 6 },
+    { block: 1, first: 6, count: 4 },
+    { block: 0, first: 10, count: 5 },
+  ];
+  const entries = [entry(0, [0, 11], [10, 10]), entry(1, [14])];
+  assert.deepEqual(takeBack(parts, 0, entries, 2), [
+    { block: 0, first: 0, count: 6 },
+    { block: 1, first: 6, count: 4 },
+    { block: 0, first: 10, count: 3 },
+  ]);
+  assert.deepEqual(takeBack(parts, 0, entries, 100), [
+    { block: 0, first: 0, count: 1 },
+    { block: 1, first: 6, count: 4 },
+    { block: 0, first: 10, count: 2 },
+  ]);
+  assert.deepEqual(takeBack([{ block: 2, first: 0, count: 3 }], 2, [], 3), []);
+  assert.equal(takeBack([{ block: 0, first: 0, count: 1 }], 0, entries, 1), undefined);
+});
+
+// Guards against two blocks that start one task: its intent was committed just before it was taken back, unseen.
+test("a task that is on a block's ledger goes back to that block before anything of its job is dealt", () => {
+  const parts = [{ block: 1, first: 0, count: 2 }];
+  assert.deepEqual(restore(parts, 6, [entry(0, [3, 4], [5, 5]), entry(1, [0])]), [
+    { block: 1, first: 0, count: 2 },
+    { block: 0, first: 3, count: 3 },
+  ]);
+  assert.equal(restore(parts, 6, [entry(1, [0])]), undefined);
+  assert.equal(restore([{ block: 1, first: 0, count: 6 }], 6, [entry(0, [3])]), undefined);
+});
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -6,6 +6,7 @@
 import type { MachineType } from '../model/types.js';
 import { type Census, type CensusJob, needOf } from '../placement/census.js';
 import type { OrderOfWork } from '../placement/order.js';
+import { Usage } from '../placement/plan.js';
 import type { Settings, Team } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -22,7 +23,8 @@
   leadKey,
 } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { Rooms, undealt, undealtTasks } from './rooms.js';
+import { restore, takeBack } from './rebalance.js';
+import { Rooms, bound, undealt, undealtTasks } from './rooms.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import type { Registry } from './registry.js';
 import { type TeamDemand, nextShares } from './shares.js';
@@ -51,6 +53,11 @@
 const tickMs = 200;
 /** What is left over is dealt again after this part of a report interval. */
 const dealReports = 0.5;
+/**
+ * Tasks that wait in a block without room for so many report intervals, while another has some, are taken back and dealt
+ * again. Sooner than that most of them start where they are.
+ */
+const stuckReports = 4;
 /** Jobs dealt at a time, as a share of the changes that the store takes in a second or a transaction. */
 const dealShare = 0.35;
 
@@ -61,10 +68,13 @@
   private sharesAt = -Infinity;
   private leasedAt = -Infinity;
   private dealtAt = -Infinity;
+  private rebalancedAt = -Infinity;
   /** Jobs that had tasks left when last there was dealing. */
   private leftOver: ReadonlySet<string> = new Set();
   /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
   private readonly uncertain = new Map<number, number>();
+  /** Since when jobs, by block, have waited there beside room elsewhere. */
+  private stuckSince: ReadonlyMap<string, number> = new Map();
   private readonly aliveSince = new Map<string, number>();
 
   constructor(private readonly ports: LandlordPorts) {}
@@ -77,6 +87,7 @@
         continue;
       await this.leaseBlocks();
       if (mirror.revision >= this.committed) await this.dealJobs();
+      if (mirror.revision >= this.committed) await this.rebalance();
     }
   }
 
@@ -230,24 +241,81 @@
 
   /** Deals out what no block has yet, in the order of work. */
   private async dealJobs(): Promise<void> {
-    const { census, registry, types, lookahead, settings, up, order, wallClock, commits } = this.ports;
+    const { census, settings, order, wallClock, commits } = this.ports;
     const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
     const due = this.dueForDealing(open);
     // Behind a queue of commits it would be out of date, and hold up what our own block has to start.
     if (due.length === 0 || commits.writableLength > settings.state.txnOps / 2) return;
-    const alive = (label: string): boolean => registry.isAlive(label);
-    const rooms = new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
+    const rooms = this.rooms();
     rooms.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undealtTasks(parts, spec.tasks) })));
     const deals: Promise<void>[] = [];
-    const most = Math.max(2, Math.min(settings.state.txnOps, settings.state.writeRps) * dealShare);
     for (const job of census.inOrder(order, wallClock(), due)) {
-      if (deals.length >= most) break;
-      const parts = rooms.deal(job.spec, job.parts);
-      if (parts) deals.push(this.place(job, parts));
+      if (deals.length >= this.mostDeals) break;
+      const { spec, parts } = job;
+      const next = restore(parts, spec.tasks, census.entries(job.id)) ?? rooms.deal(spec, parts);
+      if (next) deals.push(this.place(job, next));
     }
     await Promise.all(deals);
   }
 
+  /**
+   * Takes back what has waited in a full block for long while another has room for it, a machine that its team's limit
+   * admits. It is dealt anew once the copy has reached the record without it.
+   */
+  private async rebalance(): Promise<void> {
+    const { census, clock, settings, order, wallClock } = this.ports;
+    const now = clock();
+    if (now - this.rebalancedAt < settings.reportMs) return;
+    this.rebalancedAt = now;
+    const stuck = new Map<string, number>();
+    const rooms = this.rooms(0);
+    const usage = new Usage();
+    for (const { page } of census.activeTasks()) usage.add(page.team, needOf(page));
+    const recalls: Promise<void>[] = [];
+    for (const job of census.inOrder(order, wallClock())) {
+      if (recalls.length >= this.mostDeals) break;
+      if (!usage.admits(settings.teams.get(job.spec.team), needOf(job.spec))) continue;
+      for (const { block, count } of census.waiting(job)) {
+        if (block === undefined) continue;
+        const room = rooms.of(job.spec);
+        const over = Math.min(count, -(room.find((r) => r.block === block)?.free ?? -count));
+        const elsewhere = room.reduce((sum, r) => sum + (r.block === block ? 0 : Math.max(0, r.free)), 0);
+        const most = Math.min(over, elsewhere);
+        if (most <= 0) continue;
+        const key = `${block}/${job.id}`;
+        const since = this.stuckSince.get(key) ?? now;
+        stuck.set(key, since);
+        if (now - since < settings.reportMs * stuckReports) continue;
+        const { done, active } = census.progress(job.id);
+        // Tasks that depend on each other's zones stay with one block, so all go or none.
+        if (bound(job.spec) && done + active > 0) continue;
+        const taken = bound(job.spec) ? job.spec.tasks : most;
+        const parts = takeBack(job.parts, block, census.entries(job.id), taken);
+        if (!parts) continue;
+        for (const other of room) {
+          if (other.block !== block)
+            rooms.take(job.spec, other.block, Math.max(0, Math.min(most, other.free)));
+        }
+        stuck.delete(key);
+        recalls.push(this.place(job, parts));
+        break;
+      }
+    }
+    this.stuckSince = stuck;
+    await Promise.all(recalls);
+  }
+
+  private rooms(lookahead = this.ports.lookahead): Rooms {
+    const { census, registry, types, up } = this.ports;
+    const alive = (label: string): boolean => registry.isAlive(label);
+    return new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
+  }
+
+  private get mostDeals(): number {
+    const { state } = this.ports.settings;
+    return Math.max(2, Math.min(state.txnOps, state.writeRps) * dealShare);
+  }
+
   /**
    * A job that has just come is dealt at once. What was left over before waits for room, which appears a task at a time:
    * dealing each of them alone would take most of the changes that the store allows, and the blocks have work ahead.
--- /dev/null
+++ b/src/blocks/rebalance.ts
@@ -0,0 +1,57 @@
+import type { CensusEntry } from '../placement/census.js';
+import { fromRanges, type Part } from '../wire/records.js';
+import { mergeParts, undealt } from './rooms.js';
+
+type Entry = Pick<CensusEntry, 'block' | 'active' | 'done'>;
+
+/** Tasks that a block has on a machine, or done: these are nobody else's. */
+function heldBy(block: number, entries: Iterable<Entry>): Set<number> {
+  const held = new Set<number>();
+  for (const entry of entries) {
+    if (entry.block !== block) continue;
+    for (const [index] of entry.active) held.add(index);
+    for (const index of fromRanges(entry.done)) held.add(index);
+  }
+  return held;
+}
+
+/**
+ * The parts of a job less up to `count` tasks that wait in a block, from the ends of its ranges, so that these stay few.
+ * Undefined: there are none to take.
+ */
+export function takeBack(
+  parts: Part[],
+  block: number,
+  entries: Iterable<Entry>,
+  count: number,
+): Part[] | undefined {
+  const held = heldBy(block, entries);
+  let left = count;
+  const kept = parts.map((part) => ({ ...part }));
+  for (const part of [...kept].reverse()) {
+    if (part.block !== block) continue;
+    while (left > 0 && part.count > 0 && !held.has(part.first + part.count - 1)) {
+      part.count--;
+      left--;
+    }
+  }
+  return left < count ? kept.filter((part) => part.count > 0) : undefined;
+}
+
+/**
+ * The parts of a job with those tasks that no part covers though a block's ledger names them: their intents were committed
+ * before the job's record was, unseen by whoever took them back, and they must go to no other block. An intent that is later
+ * than the record fails on its version, so the ledger as of the record's revision tells all of them.
+ */
+export function restore(parts: Part[], tasks: number, entries: Iterable<Entry>): Part[] | undefined {
+  const gaps = undealt(parts, tasks);
+  if (gaps.length === 0) return undefined;
+  const restored: Part[] = [];
+  for (const entry of entries) {
+    for (const index of heldBy(entry.block, [entry])) {
+      const uncovered = gaps.some(({ first, count }) => index >= first && index < first + count);
+      if (uncovered) restored.push({ block: entry.block, first: index, count: 1 });
+    }
+  }
+  return restored.length > 0 ? mergeParts([...parts, ...restored]) : undefined;
+}
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -380,7 +380,11 @@
         store.renewWatch();
       }
       this.tenancy.follow([]);
-      for (const board of this.tenancy.boards()) this.noteUp(board.upSince(this.clock() - toldMs));
+      // What peers are told, our own leader has to hear as well.
+      for (const board of this.tenancy.boards()) {
+        this.noteUp(board.upSince(this.clock() - toldMs));
+        this.fleet?.noteGone(board.goneSince(this.clock() - toldMs));
+      }
       this.shareStore();
       this.logStore();
       await sleep(probeMs, signal);
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -7,7 +7,7 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type JobStatus, isJobId, jobAnswer, jobDetails, parseJob } from '../wire/jobs.js';
+import { type JobStatus, isJobId, jobAnswer, jobIdIn, jobDetails, parseJob } from '../wire/jobs.js';
 import {
   type End,
   endKey,
@@ -75,7 +75,7 @@
    */
   private async submit(body: unknown): Promise<Reply> {
     const job = parseJob(body, this.ports.wallClock());
-    if (typeof job === 'string') return { status: 400, body: { error: job } };
+    if (typeof job === 'string') return this.refuse(body, 400, job);
     const known = this.underWay.get(job.id);
     if (known) return known;
     const reply = this.accept(job);
@@ -92,12 +92,7 @@
     if (mirror.version(jobKey(job.id)) > 0 || mirror.get(endKey(job.id))) return this.known(job.id);
     if (types().size === 0 || !mirror.ready) return this.trouble('not ready');
     const impossible = whyImpossible(job, types().values(), settings.teams);
-    if (impossible !== undefined) {
-      // A repeated submission of an accepted job must never get 422, whatever the types are by now.
-      const standing = await this.standing(job.id);
-      if (standing.kind === 'none') return { status: 422, body: { error: impossible } };
-      return standing.kind === 'unsure' ? this.trouble('state service') : this.known(job.id);
-    }
+    if (impossible !== undefined) return this.refuse(job, 422, impossible);
     if (store.failing) return this.trouble('state service');
     // What would wait for longer than a user does is turned away at once, and told when its turn may come.
     const waitMs = store.writeWaitMs('intake', writes.writableLength);
@@ -122,8 +117,16 @@
     return this.trouble('state service');
   }
 
-  private async known(id: string): Promise<Reply> {
-    const standing = await this.standing(id);
+  /** A repeated submission of an accepted job is never refused, whatever it says and the types are by now. */
+  private async refuse(body: unknown, status: 400 | 422, error: string): Promise<Reply> {
+    const id = jobIdIn(body);
+    const standing: Standing = id === undefined ? { kind: 'none' } : await this.standing(id);
+    if (id === undefined || standing.kind === 'none') return { status, body: { error } };
+    return this.known(id, standing);
+  }
+
+  private async known(id: string, found?: Standing): Promise<Reply> {
+    const standing = found ?? (await this.standing(id));
     if (standing.kind === 'ended') return { status: 200, body: jobAnswer(id, standing.end) };
     if (standing.kind === 'open') return { status: 200, body: jobAnswer(id, this.progress(id).status) };
     return this.trouble('state service');
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -16,6 +16,7 @@
 import { type Pool, buildPools, countDemand, poolKey } from './demand.js';
 import { Ladder, slotsOf } from './ladder.js';
 import { Refusals } from './refusals.js';
+import { Listing } from './listing.js';
 import { Lack, Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
 import { Witness } from './witness.js';
@@ -69,14 +70,14 @@
   private tunedAt: number;
   private loggedAt = -Infinity;
   private readonly refusals: Refusals;
-  private readonly lastListed = new Map<string, number>();
-  private listedAt = -Infinity;
+  private readonly listing: Listing;
 
   constructor(private readonly ports: FleetPorts) {
     this.lack = new Lack(ports.operator.ladder);
     this.witness = new Witness(ports.settings.reportMs);
     this.tickMs = Math.max(leastTickMs, ports.settings.reportMs / looksPerReport);
     this.tunedAt = ports.clock();
+    this.listing = new Listing(ports.settings.cloud.listLagMs);
     this.refusals = new Refusals(ports.settings.cloud.listLagMs * 2);
   }
 
@@ -115,29 +116,20 @@
   }
 
   private applyList(machines: CloudMachine[]): void {
-    const { clock, wallClock, settings } = this.ports;
+    const { clock, wallClock } = this.ports;
     const leased = this.ports.leased();
-    const now = clock();
-    // After a standstill of ours, or an outage of the cloud, the last list is too old for a machine to be missed by it.
-    if (now - this.listedAt > settings.cloud.listLagMs * 2) {
-      for (const id of this.lastListed.keys()) this.lastListed.set(id, now);
-    }
-    this.listedAt = now;
-    for (const { id, type, zone, spot, ageS, state } of machines) {
-      if (this.gone.has(id)) continue;
-      this.lastListed.set(id, this.listedAt);
+    const known = machines.filter(({ id }) => !this.gone.has(id));
+    for (const { id, type, zone, spot, ageS, state } of known) {
       this.lost.delete(id);
       const machine = { id, token: 0, type, zone, spot, leaving: false, since: wallClock() - ageS * 1000 };
       // Rented by an earlier leader, or by a request that was carried out late: it is used like any other.
       if (!leased.has(id) && !this.fresh.has(id)) this.fresh.set(id, machine);
       if (state === 'failed') this.lost.add(id);
     }
-    // A list may be older than the one before it, so a machine is missing only once it has been for longer than that.
-    for (const [id, at] of this.lastListed) {
-      if (this.listedAt - at <= settings.cloud.listLagMs * 2) continue;
-      this.lastListed.delete(id);
+    const expected = [...leased.keys()].filter((id) => !this.gone.has(id));
+    const listed = known.map(({ id }) => id);
+    for (const id of this.listing.missing(clock(), listed, expected))
       if (!this.gone.has(id)) this.lost.add(id);
-    }
   }
 
   private async keepRenting(): Promise<void> {
@@ -145,7 +137,7 @@
     while (!term.signal.aborted) {
       // What the last leader rented takes a while to be listed; renting sooner would rent it twice.
       const patience = firstEver ? 0 : settings.cloud.listLagMs;
-      const informed = clock() - term.startedAt > patience && this.listedAt > term.startedAt;
+      const informed = clock() - term.startedAt > patience && this.listing.at > term.startedAt;
       if (informed && this.ports.types().size > 0 && this.ports.inTouch()) await this.step();
       await sleep(this.tickMs, term.signal);
     }
--- a/src/ladder/ladder.test.ts
+++ b/src/ladder/ladder.test.ts
@@ -3,6 +3,7 @@
 import { Ladder } from './ladder.js';
 import type { MachineType } from '../model/types.js';
 import type { LeasedMachine } from '../wire/records.js';
+import { Listing } from './listing.js';
 import { Refusals } from './refusals.js';
 import { Lack, Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
@@ -107,3 +108,18 @@
   for (const [now, counted, count] of trace)
     assert.equal(lack.count(pool(counted), ladder, now), count, `at ${now}`);
 });
+
+// Guards against machines that are counted for ever, so that the ladder rents nothing in their place: let go by their owner
+// between two terms, they were on no list of the new leader and could not be missed by it.
+test('a machine that no list names is missing, whether it was ever on one or only leased', () => {
+  const listing = new Listing(100);
+  assert.deepEqual(listing.missing(0, ['m1', 'm2'], ['m1', 'm2', 'm3']), []);
+  assert.deepEqual(listing.missing(150, ['m1'], ['m1', 'm2', 'm3', 'm4']), []);
+  assert.deepEqual(listing.missing(250, ['m1'], ['m1', 'm4']), ['m2', 'm3']);
+  // A rental shows up within twice the lag.
+  assert.deepEqual(listing.missing(340, ['m1', 'm4'], ['m1', 'm4']), []);
+  // After a pause in the lists nothing is missed by what was listed before it.
+  assert.deepEqual(listing.missing(2000, ['m1'], ['m1', 'm4']), []);
+  assert.deepEqual(listing.missing(2150, ['m1'], ['m1', 'm4']), []);
+  assert.deepEqual(listing.missing(2201, ['m1'], ['m1', 'm4']), ['m4']);
+});
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -181,8 +181,9 @@
         if (finding.running && finding.task.job.spec) machine.images.add(finding.task.job.spec.image);
       } else if (finding.kind === 'completed') {
         const task = finding.job.tasks.get(finding.index);
+        // One that the leader has taken back meanwhile stays on its machine's books until it is ours again.
+        if (!finding.job.finish(finding.index, now)) continue;
         if (task && task.machine !== '') this.machines.get(task.machine)?.tasks.delete(taskKey(refOf(task)));
-        finding.job.finish(finding.index, now);
       } else this.left(machine, finding.task, finding.cause, now);
     }
     return result;
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import type { JobSpec } from '../model/types.js';
+import { isFields, text } from './codec.js';
 
 const jobIdForm = /^req-\d{1,18}$/;
 
@@ -7,6 +8,12 @@
   return jobIdForm.test(id);
 }
 
+/** The id that a submission names, whatever else is wrong with it. */
+export function jobIdIn(body: unknown): string | undefined {
+  const id = isFields(body) ? text(body['id']) : '';
+  return isJobId(id) ? id : undefined;
+}
+
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 const word = v.pipe(v.string(), v.nonEmpty(), v.maxLength(200));
 
