Tasks bound to zones: a round heeds those of their job that are there already

The machines of a board came as an iterator that the first walk of a round had spent, so the zones in use were always empty: wrong_place for apart and together jobs after the loss of a machine, found by the meeting that kills machines. Strays and machines of unknown zone count as well.

--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -248,10 +248,15 @@
 // Guards against two blocks that start one task: its intent was committed just before it was taken back, unseen.
 test("a task that is on a block's ledger goes back to that block before anything of its job is dealt", () => {
   const parts = [{ block: 1, first: 0, count: 2 }];
-  assert.deepEqual(restore(parts, 6, [entry(0, [3, 4], [5, 5]), entry(1, [0])]), [
+  const job = (change: Partial<JobSpec> = {}, at = parts): { parts: Part[]; spec: JobSpec } => ({
+    ...{ parts: at, spec: spec('req-1', 6, change) },
+  });
+  assert.deepEqual(restore(job(), [entry(0, [3, 4], [5, 5]), entry(1, [0])]), [
     { block: 1, first: 0, count: 2 },
     { block: 0, first: 3, count: 3 },
   ]);
-  assert.equal(restore(parts, 6, [entry(1, [0])]), undefined);
-  assert.equal(restore([{ block: 1, first: 0, count: 6 }], 6, [entry(0, [3])]), undefined);
+  assert.equal(restore(job(), [entry(1, [0])]), undefined);
+  assert.equal(restore(job({}, [{ block: 1, first: 0, count: 6 }]), [entry(0, [3])]), undefined);
+  // Tasks that depend on each other's zones go back to it all together.
+  assert.deepEqual(restore(job({ spread: true }, []), [entry(0, [3])]), [{ block: 0, first: 0, count: 6 }]);
 });
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -252,7 +252,7 @@
     for (const job of census.inOrder(order, wallClock(), due)) {
       if (deals.length >= this.mostDeals) break;
       const { spec, parts } = job;
-      const next = restore(parts, spec.tasks, census.entries(job.id)) ?? rooms.deal(spec, parts);
+      const next = restore(job, census.entries(job.id)) ?? rooms.deal(spec, parts);
       if (next) deals.push(this.place(job, next));
     }
     await Promise.all(deals);
--- a/src/blocks/rebalance.ts
+++ b/src/blocks/rebalance.ts
@@ -1,6 +1,7 @@
+import type { JobSpec } from '../model/types.js';
 import type { CensusEntry } from '../placement/census.js';
 import { fromRanges, type Part } from '../wire/records.js';
-import { mergeParts, undealt } from './rooms.js';
+import { bound, mergeParts, undealt } from './rooms.js';
 
 type Entry = Pick<CensusEntry, 'block' | 'active' | 'done'>;
 
@@ -43,8 +44,11 @@
  * before the job's record was, unseen by whoever took them back, and they must go to no other block. An intent that is later
  * than the record fails on its version, so the ledger as of the record's revision tells all of them.
  */
-export function restore(parts: Part[], tasks: number, entries: Iterable<Entry>): Part[] | undefined {
-  const gaps = undealt(parts, tasks);
+export function restore(
+  { parts, spec }: { parts: Part[]; spec: Pick<JobSpec, 'tasks' | 'oneZone' | 'spread'> },
+  entries: Iterable<Entry>,
+): Part[] | undefined {
+  const gaps = undealt(parts, spec.tasks);
   if (gaps.length === 0) return undefined;
   const restored: Part[] = [];
   for (const entry of entries) {
@@ -53,5 +57,9 @@
       if (uncovered) restored.push({ block: entry.block, first: index, count: 1 });
     }
   }
-  return restored.length > 0 ? mergeParts([...parts, ...restored]) : undefined;
+  const [first] = restored;
+  if (!first) return undefined;
+  // Tasks that depend on each other's zones stay with one block.
+  if (bound(spec)) return [{ block: first.block, first: 0, count: spec.tasks }];
+  return mergeParts([...parts, ...restored]);
 }
--- a/src/blocks/rooms.ts
+++ b/src/blocks/rooms.ts
@@ -166,7 +166,7 @@
 }
 
 /** Tasks whose zones depend on each other. */
-export function bound(spec: JobSpec): boolean {
+export function bound(spec: Pick<JobSpec, 'oneZone' | 'spread'>): boolean {
   return spec.oneZone || spec.spread;
 }
 
--- a/src/controller.test.ts
+++ b/src/controller.test.ts
@@ -92,15 +92,12 @@
   });
 
   test('the end of the leader loses nothing: its block is leased anew', async () => {
-    const leader = cluster.leader();
+    const leader = await cluster.leading();
     const node = ['keel-0', 'keel-1', 'keel-2'].indexOf(leader);
     const other = (node + 1) % 3;
     await cluster.user(other, 'POST', '/v2/runs', submission('req-000008', 12));
     cluster.stopController(leader);
-    await cluster.until(
-      'another leads',
-      () => cluster.leader() !== leader && cluster.leader() !== 'undefined',
-    );
+    await cluster.leading(leader);
     await cluster.until(
       'it is done',
       async () => (await cluster.status(other, 'req-000008')) === 'done',
--- a/src/meetings/cancels.test.ts
+++ b/src/meetings/cancels.test.ts
@@ -129,7 +129,7 @@
     const ids = ['req-000001', 'req-000002', 'req-000003', 'req-000004'];
     for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 3), i);
     await cluster.until('all run', () => ids.every((id) => cluster.runningOf(id).length === 3));
-    const first = cluster.leader();
+    const first = await cluster.leading();
     const elsewhere = [0, 1, 2].filter((node) => node !== nodeOf(first));
     cluster.store.held.add(first);
     for (const link of cluster.peersOf(first)) link.cut();
@@ -163,7 +163,7 @@
     cluster.store.delayMs = 300;
     await cluster.cancelSurely(ids[0] ?? '');
     await ask();
-    cluster.store.refused.add(cluster.leader());
+    cluster.store.refused.add(await cluster.leading());
     await cluster.cancelSurely(ids[1] ?? '');
     const late = cluster.cancel(0, ids[2] ?? '');
     cluster.store.down = true;
@@ -194,7 +194,7 @@
     );
     const busy = [...cluster.workers.values()].filter((w) => w.running.length > 0);
     for (const worker of busy.slice(0, Math.ceil(busy.length / 2))) worker.mute = true;
-    const first = cluster.leader();
+    const first = await cluster.leading();
     cluster.stopController(first);
     await cluster.cancelSurely(cancelled);
     await pause(leaseMs * 1.2);
--- a/src/meetings/leaders.test.ts
+++ b/src/meetings/leaders.test.ts
@@ -1,15 +1,9 @@
 import assert from 'node:assert/strict';
-import { type Cluster, labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
+import { labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
 
 const nodeOf = (label: string): number => labels.indexOf(label);
 
-/** Waits until another controller leads, and says which. */
-async function leads(cluster: Cluster, not: string): Promise<string> {
-  await cluster.until('another leads', () => labels.includes(cluster.leader()) && cluster.leader() !== not);
-  return cluster.leader();
-}
-
 // Guards against two lives that both command, and against tasks that the short-lived owners in between leave uncounted.
 scenario(
   'controllers hand over and back, all end, and one returns, within a second',
@@ -17,11 +11,11 @@
   async (cluster) => {
     const ids = ['req-000001', 'req-000002', 'req-000003'];
     for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 4), i);
-    const first = cluster.leader();
+    const first = await cluster.leading();
     cluster.stopController(first);
-    await leads(cluster, first);
+    await cluster.leading(first);
     cluster.startController(first);
-    await cluster.restart(await leads(cluster, first));
+    await cluster.restart(await cluster.leading(first));
     for (const label of labels) cluster.stopController(label);
     await pause(150);
     cluster.startController(first);
@@ -41,14 +35,14 @@
     const ended = (): number =>
       cluster.history.happenings.filter((h) => h.kind === 'left' && h.completed).length;
     await cluster.until('the first tasks have ended', () => ended() >= 3);
-    const first = cluster.leader();
+    const first = await cluster.leading();
     cluster.stopController(first);
     const asked = nodeOf(first) === 0 ? 1 : 0;
-    await leads(cluster, first);
+    await cluster.leading(first);
     for (const id of ids) await cluster.ask(asked, id);
     await cluster.until('the second ones have', () => ended() >= 6);
     cluster.startController(first);
-    await cluster.restart(await leads(cluster, ''));
+    await cluster.restart(await cluster.leading());
     for (const id of ids) await cluster.ask(asked, id);
     await cluster.allDone(ids);
   },
@@ -66,9 +60,9 @@
     );
     for (const worker of mute) worker.mute = true;
     for (const worker of deaf) worker.deaf = true;
-    const first = cluster.leader();
+    const first = await cluster.leading();
     cluster.stopController(first);
-    await leads(cluster, first);
+    await cluster.leading(first);
     await pause(leaseMs / 2);
     for (const worker of mute) worker.mute = false;
     await pause(leaseMs);
@@ -86,12 +80,12 @@
     await cluster.submitSurely(submission('req-000001', 6));
     await cluster.submitSurely(submission('req-000002', 6), 1);
     await cluster.until('tasks run', () => cluster.runningOf('req-000002').length > 0);
-    const first = cluster.leader();
+    const first = await cluster.leading();
     const workers = [...cluster.workers.values()].filter((w) => cluster.ownerOf(w.machine.id) === first);
     assert.ok(workers.length > 0);
     for (const worker of workers) worker.mute = true;
     cluster.stopController(first);
-    await leads(cluster, first);
+    await cluster.leading(first);
     await cluster.until('their blocks are leased anew', () =>
       workers.every(({ machine }) => cluster.ownerOf(machine.id) !== first),
     );
@@ -130,9 +124,9 @@
     const ids = ['req-000001', 'req-000002', 'req-000003'];
     for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, 4), i);
     for (let change = 0; change < 10; change++) {
-      const first = cluster.leader();
+      const first = await cluster.leading();
       if (change === 4) cluster.store.down = true;
-      await cluster.restart(labels.includes(first) ? first : (labels[change % 3] ?? ''), 50);
+      await cluster.restart(first, 50);
       await pause(cluster.store.down ? reportMs : 3 * reportMs);
       if (change === 6) cluster.store.down = false;
       for (const [i, id] of ids.entries()) await cluster.ask(i, id);
--- a/src/meetings/messages.test.ts
+++ b/src/meetings/messages.test.ts
@@ -19,7 +19,7 @@
       await submitAll(cluster, five, 4);
       const [cancelled = '', ...kept] = five;
       await cluster.cancelSurely(cancelled);
-      await cluster.restart(cluster.leader());
+      await cluster.restart(await cluster.leading());
       for (let i = 0; i < 12; i++) {
         for (const [j, id] of five.entries()) await cluster.ask((i + j) % 3, id);
         await pause(reportMs);
@@ -66,7 +66,7 @@
     for (const worker of lost) worker.mute = false;
     for (let i = 0; i < 5; i++) {
       for (const worker of cluster.workers.values()) worker.repeat(5 + i * 5, i % 3);
-      if (i === 2) await cluster.restart(cluster.leader());
+      if (i === 2) await cluster.restart(await cluster.leading());
       await pause(reportMs);
     }
     await cluster.allDone(five);
@@ -104,7 +104,7 @@
     await cluster.until('tasks run', () => five.some((id) => cluster.runningOf(id).length > 0));
     const hung = [...cluster.workers.values()].slice(0, 2);
     for (const worker of hung) worker.hang();
-    await cluster.restart(cluster.leader());
+    await cluster.restart(await cluster.leading());
     await pause(leaseMs);
     for (const worker of hung) worker.resume();
     await cluster.allDone(five);
--- a/src/meetings/places.test.ts
+++ b/src/meetings/places.test.ts
@@ -26,7 +26,7 @@
     for (const [i, job] of jobs.entries()) await cluster.submitSurely(job, i);
     for (const id of ids) await cluster.until(`${id} runs`, () => cluster.runningOf(id).length > 0);
     for (const id of ids) if (cluster.runningOf(id).length > 0) kill(cluster, id);
-    await cluster.restart(cluster.leader());
+    await cluster.restart(await cluster.leading());
     await pause(2 * reportMs);
     for (const id of ids) if (cluster.runningOf(id).length > 0) kill(cluster, id);
     await cluster.allDone(ids);
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -294,3 +294,48 @@
     [3],
   );
 });
+
+// Guards against a round that walked the board's machines twice though their iterator is spent after the first time: it saw
+// no task of the job anywhere, and what was bound to the zone of its others started in any.
+test('a round over the machines of a board heeds the zones of tasks that are there already', () => {
+  const places = (change: Partial<JobSpec>, on: string[]): string[] => {
+    const job = JobState.of({ ...spec('req-1', 4), ...change }, 1, {
+      ...{ block: 0, ledger: new Ledger(valueBytes), perChunk: tasksPerChunk(valueBytes) },
+    });
+    job.assignRanges([{ block: 0, first: 0, count: 4 }], 1);
+    const machines = new Map(
+      ['a', 'b', ''].map((zone) => {
+        const machine = new MachineState(`m-${zone}`, 0);
+        machine.place = { id: `m-${zone}`, type: 'c8', zone, spot: false };
+        return [machine.id, machine];
+      }),
+    );
+    for (const id of on) {
+      const task = job.next();
+      if (!task) break;
+      job.place(task, id, 0);
+      machines.get(id)?.tasks.set(taskKey({ job: job.id, index: task.index }), task);
+    }
+    const choices = plan({
+      ...{
+        now: 0,
+        jobs: [job],
+        machines: machines.values(),
+        cheap: new Set<string>(),
+        partial: false,
+        most: 10,
+      },
+      types: new Map(parseMachineTypes({ hulls: [machineType] }).map((type) => [type.name, type])),
+      team: () => testSettings().teams.get('blue'),
+      usage: () => new Usage(),
+      // One whose zone is not known yet takes nothing.
+      usable: (machine) => machine.place.zone !== '',
+    });
+    return choices.map(({ machine }) => machine.place.zone);
+  };
+  assert.deepEqual(places({ oneZone: true }, ['m-b']), ['b', 'b', 'b']);
+  assert.deepEqual(places({ spread: true }, ['m-a', 'm-a']), ['b', 'b']);
+  // Where one of them is, nobody knows: it may be in either zone.
+  assert.deepEqual(places({ spread: true }, ['m-']), ['a', 'b']);
+  assert.deepEqual(places({ oneZone: true }, ['m-']), []);
+});
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -77,7 +77,9 @@
   // Most rounds have nothing to place, and there is one for nearly every report.
   if (waiting.length === 0) return choices;
   const least = leastOf(waiting.map(({ job }) => job.need));
-  const usable = [...facts.machines]
+  // They are walked more than once, and an iterator is spent after the first time.
+  const machines = [...facts.machines];
+  const usable = machines
     .filter(facts.usable)
     .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
     .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined);
@@ -89,7 +91,7 @@
   const usage = facts.usage();
   for (const { job, spec } of waiting) {
     const team = facts.team(job.team);
-    const zones = zonesInUse(job, facts.machines);
+    const zones = zonesInUse(job, machines);
     const half = Math.ceil(spec.tasks / 2);
     let candidates = rooms.filter(
       ({ machine }) =>
@@ -107,7 +109,7 @@
     while (left > 0 && choices.length < facts.most && usage.admits(team, job.need)) {
       const suits = ({ machine, free }: Room): boolean =>
         fits(job.need, free) &&
-        (!spec.spread || (zones.get(machine.place.zone) ?? 0) < half) &&
+        (!spec.spread || inZone(zones, machine.place.zone) < half) &&
         (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone));
       // What does not suit one task of the job does not suit its next: nothing frees up within a round.
       while (at < candidates.length && !suits(candidates[at] as Room)) at++;
@@ -151,14 +153,21 @@
   };
 }
 
-/** Active tasks of the job by zone. */
-function zonesInUse(job: JobState, machines: Iterable<MachineState>): Map<string, number> {
+/** A machine that a ledger names and no block's record does may be anywhere. */
+const unknownZone = '';
+
+/** Tasks of the job that are or may be on machines, by zone. */
+function zonesInUse(job: JobState, machines: MachineState[]): Map<string, number> {
   const zones = new Map<string, number>();
   if (!isBound(job)) return zones;
-  for (const machine of machines) {
-    for (const task of machine.tasks.values()) {
-      if (task.job === job) zones.set(machine.place.zone, (zones.get(machine.place.zone) ?? 0) + 1);
-    }
+  for (const { place, tasks, strays } of machines) {
+    let here = strays.filter(({ task }) => task.job === job.id).length;
+    for (const task of tasks.values()) if (task.job === job) here++;
+    if (here > 0) zones.set(place.zone, (zones.get(place.zone) ?? 0) + here);
   }
   return zones;
 }
+
+function inZone(zones: ReadonlyMap<string, number>, zone: string): number {
+  return (zones.get(zone) ?? 0) + (zones.get(unknownZone) ?? 0);
+}
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -75,6 +75,7 @@
       const answers = await Promise.all([0, 1, 2].map((node) => this.user(node, 'GET', '/up')));
       return answers.every((answer) => answer.status === 200);
     });
+    await this.leading();
   }
 
   startController(label: string): void {
@@ -117,8 +118,14 @@
     this.startController(label);
   }
 
-  leader(): string {
-    return String((this.store.value('lead') as { label?: string } | undefined)?.label);
+  /** Waits until a controller leads, another than the one given, and says which. */
+  async leading(not = ''): Promise<string> {
+    let label = '';
+    await this.until('another leads', () => {
+      label = (this.store.value('lead') as { label?: string } | undefined)?.label ?? '';
+      return label !== '' && label !== not;
+    });
+    return label;
   }
 
   /** The controller that a machine's block is leased to. */
