Dealing apart from leasing; a waiting task between done ones is taken back too; a lost watch is judged by 1.5 reports

The meeting of held-up machines left a task for ever in a block without machines: only the ends of ranges were taken back. The watch was renewed after half a report interval, which a slow state service could have kept from ever answering.

--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -241,6 +241,11 @@
     { block: 1, first: 6, count: 4 },
     { block: 0, first: 10, count: 2 },
   ]);
+  // Also one that waits between others that are done.
+  assert.deepEqual(takeBack([{ block: 0, first: 0, count: 3 }], 0, [entry(0, [], [0, 0, 2, 2])], 5), [
+    { block: 0, first: 0, count: 1 },
+    { block: 0, first: 2, count: 1 },
+  ]);
   assert.deepEqual(takeBack([{ block: 2, first: 0, count: 3 }], 2, [], 3), []);
   assert.equal(takeBack([{ block: 0, first: 0, count: 1 }], 0, entries, 1), undefined);
 });
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -1,83 +1,37 @@
-import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
-import type { Log } from '../base/log.js';
 import type { Fleet } from '../ladder/fleet.js';
-import type { Term } from '../leadership/term.js';
-import type { MachineType } from '../model/types.js';
-import { type Census, type CensusJob, needOf } from '../placement/census.js';
-import type { OrderOfWork } from '../placement/order.js';
-import { Usage } from '../placement/plan.js';
-import type { Settings, Team } from '../settings/settings.js';
+import { needOf } from '../placement/census.js';
+import type { Team } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
-import type { CommitStage } from '../store/commit-stage.js';
-import type { Mirror } from '../store/mirror.js';
-import {
-  type BlockRecord,
-  type LeasedMachine,
-  type Part,
-  type Shares,
-  blockKey,
-  blockRecord,
-  jobKey,
-  jobRecord,
-  leadKey,
-} from '../wire/records.js';
+import { type BlockRecord, type Shares, blockKey, blockRecord, leadKey } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { restore, takeBack } from './rebalance.js';
-import { Rooms, bound, undealt, undealtTasks } from './rooms.js';
+import { Dealing, type DealingPorts } from './dealing.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
-import type { Registry } from './registry.js';
 import { type TeamDemand, nextShares } from './shares.js';
 
-export interface LandlordPorts {
-  clock: Clock;
-  log: Log;
-  settings: Settings;
+export interface LandlordPorts extends DealingPorts {
   store: StoreClient;
-  commits: CommitStage;
-  mirror: Mirror;
-  census: Census;
-  registry: Registry;
   fleet: Fleet;
-  term: Term;
-  order: OrderOfWork;
-  wallClock: () => number;
-  types: () => ReadonlyMap<string, MachineType>;
   periodMs: number;
   boot: string;
-  /** See the blocks' rooms. */
-  lookahead: number;
-  up: (machine: LeasedMachine) => boolean;
 }
 
 const tickMs = 200;
-/** What is left over is dealt again after this part of a report interval. */
-const dealReports = 0.5;
-/**
- * Tasks that wait in a block without room for so many report intervals, while another has some, are taken back and dealt
- * again. Sooner than that most of them start where they are.
- */
-const stuckReports = 4;
-/** Jobs dealt at a time, as a share of the changes that the store takes in a second or a transaction. */
-const dealShare = 0.35;
 
-/** The leader's leasing of machines, of shares of the teams' limits, and of jobs too big for one block. */
+/** The leader's leasing of machines and of shares of the teams' limits; the dealing of work follows it. */
 export class Landlord {
   /** The copy must have reached this revision before we build on it again. */
   private committed = 0;
   private sharesAt = -Infinity;
   private leasedAt = -Infinity;
-  private dealtAt = -Infinity;
-  private rebalancedAt = -Infinity;
-  /** Jobs that had tasks left when last there was dealing. */
-  private leftOver: ReadonlySet<string> = new Set();
   /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
   private readonly uncertain = new Map<number, number>();
-  /** Since when jobs, by block, have waited there beside room elsewhere. */
-  private stuckSince: ReadonlyMap<string, number> = new Map();
   private readonly aliveSince = new Map<string, number>();
+  private readonly dealing: Dealing;
 
-  constructor(private readonly ports: LandlordPorts) {}
+  constructor(private readonly ports: LandlordPorts) {
+    this.dealing = new Dealing(ports);
+  }
 
   async run(): Promise<void> {
     const { term, store, mirror } = this.ports;
@@ -86,8 +40,8 @@
       if (term.signal.aborted || store.failing || mirror.revision < Math.max(term.token, this.committed))
         continue;
       await this.leaseBlocks();
-      if (mirror.revision >= this.committed) await this.dealJobs();
-      if (mirror.revision >= this.committed) await this.rebalance();
+      if (mirror.revision >= this.committed)
+        this.committed = Math.max(this.committed, await this.dealing.look());
     }
   }
 
@@ -238,108 +192,6 @@
     }
     return of;
   }
-
-  /** Deals out what no block has yet, in the order of work. */
-  private async dealJobs(): Promise<void> {
-    const { census, settings, order, wallClock, commits } = this.ports;
-    const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
-    const due = this.dueForDealing(open);
-    // Behind a queue of commits it would be out of date, and hold up what our own block has to start.
-    if (due.length === 0 || commits.writableLength > settings.state.txnOps / 2) return;
-    const rooms = this.rooms();
-    rooms.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undealtTasks(parts, spec.tasks) })));
-    const deals: Promise<void>[] = [];
-    for (const job of census.inOrder(order, wallClock(), due)) {
-      if (deals.length >= this.mostDeals) break;
-      const { spec, parts } = job;
-      const next = restore(job, census.entries(job.id)) ?? rooms.deal(spec, parts);
-      if (next) deals.push(this.place(job, next));
-    }
-    await Promise.all(deals);
-  }
-
-  /**
-   * Takes back what has waited in a full block for long while another has room for it, a machine that its team's limit
-   * admits. It is dealt anew once the copy has reached the record without it.
-   */
-  private async rebalance(): Promise<void> {
-    const { census, clock, settings, order, wallClock } = this.ports;
-    const now = clock();
-    if (now - this.rebalancedAt < settings.reportMs) return;
-    this.rebalancedAt = now;
-    const stuck = new Map<string, number>();
-    const rooms = this.rooms(0);
-    const usage = new Usage();
-    for (const { page } of census.activeTasks()) usage.add(page.team, needOf(page));
-    const recalls: Promise<void>[] = [];
-    for (const job of census.inOrder(order, wallClock())) {
-      if (recalls.length >= this.mostDeals) break;
-      if (!usage.admits(settings.teams.get(job.spec.team), needOf(job.spec))) continue;
-      for (const { block, count } of census.waiting(job)) {
-        if (block === undefined) continue;
-        const room = rooms.of(job.spec);
-        const over = Math.min(count, -(room.find((r) => r.block === block)?.free ?? -count));
-        const elsewhere = room.reduce((sum, r) => sum + (r.block === block ? 0 : Math.max(0, r.free)), 0);
-        const most = Math.min(over, elsewhere);
-        if (most <= 0) continue;
-        const key = `${block}/${job.id}`;
-        const since = this.stuckSince.get(key) ?? now;
-        stuck.set(key, since);
-        if (now - since < settings.reportMs * stuckReports) continue;
-        const { done, active } = census.progress(job.id);
-        // Tasks that depend on each other's zones stay with one block, so all go or none.
-        if (bound(job.spec) && done + active > 0) continue;
-        const taken = bound(job.spec) ? job.spec.tasks : most;
-        const parts = takeBack(job.parts, block, census.entries(job.id), taken);
-        if (!parts) continue;
-        for (const other of room) {
-          if (other.block !== block)
-            rooms.take(job.spec, other.block, Math.max(0, Math.min(most, other.free)));
-        }
-        stuck.delete(key);
-        recalls.push(this.place(job, parts));
-        break;
-      }
-    }
-    this.stuckSince = stuck;
-    await Promise.all(recalls);
-  }
-
-  private rooms(lookahead = this.ports.lookahead): Rooms {
-    const { census, registry, types, up } = this.ports;
-    const alive = (label: string): boolean => registry.isAlive(label);
-    return new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
-  }
-
-  private get mostDeals(): number {
-    const { state } = this.ports.settings;
-    return Math.max(2, Math.min(state.txnOps, state.writeRps) * dealShare);
-  }
-
-  /**
-   * A job that has just come is dealt at once. What was left over before waits for room, which appears a task at a time:
-   * dealing each of them alone would take most of the changes that the store allows, and the blocks have work ahead.
-   */
-  private dueForDealing(open: CensusJob[]): CensusJob[] {
-    const { clock, settings } = this.ports;
-    const before = this.leftOver;
-    this.leftOver = new Set(open.map((job) => job.id));
-    if (clock() - this.dealtAt < settings.reportMs * dealReports) {
-      return open.filter((job) => !before.has(job.id));
-    }
-    this.dealtAt = clock();
-    return open;
-  }
-
-  private async place(job: CensusJob, parts: Part[]): Promise<void> {
-    const { commits, log } = this.ports;
-    const outcome = await commits.commit(
-      [this.lead, { key: jobKey(job.id), version: job.version }],
-      [{ put: jobKey(job.id), value: jobRecord({ spec: job.spec, parts }) }],
-    );
-    if (outcome.kind === 'applied') this.committed = Math.max(this.committed, outcome.revision);
-    log.debug({ event: 'job-dealt', job: job.id, parts, outcome: outcome.kind }, 'job dealt to blocks');
-  }
 }
 
 function isStarved(demand: TeamDemand, record: BlockRecord, team: Team): boolean {
--- a/src/blocks/rebalance.ts
+++ b/src/blocks/rebalance.ts
@@ -16,9 +16,12 @@
   return held;
 }
 
+/** So many parts of a job leave its record well within a value of the store. */
+const mostParts = 200;
+
 /**
- * The parts of a job less up to `count` tasks that wait in a block, from the ends of its ranges, so that these stay few.
- * Undefined: there are none to take.
+ * The parts of a job less up to `count` tasks that wait in a block, the last first, so that its parts stay few. Undefined:
+ * there are none to take.
  */
 export function takeBack(
   parts: Part[],
@@ -27,16 +30,26 @@
   count: number,
 ): Part[] | undefined {
   const held = heldBy(block, entries);
-  let left = count;
-  const kept = parts.map((part) => ({ ...part }));
-  for (const part of [...kept].reverse()) {
-    if (part.block !== block) continue;
-    while (left > 0 && part.count > 0 && !held.has(part.first + part.count - 1)) {
-      part.count--;
-      left--;
+  const taken = new Set<number>();
+  for (const part of parts.filter((p) => p.block === block).reverse()) {
+    for (let index = part.first + part.count - 1; index >= part.first && taken.size < count; index--) {
+      if (!held.has(index)) taken.add(index);
     }
   }
-  return left < count ? kept.filter((part) => part.count > 0) : undefined;
+  if (taken.size === 0) return undefined;
+  const kept = parts.flatMap((part) => (part.block === block ? without(part, taken) : [part]));
+  return kept.length <= mostParts ? kept : undefined;
+}
+
+function without({ block, first, count }: Part, taken: ReadonlySet<number>): Part[] {
+  const kept: Part[] = [];
+  for (let index = first; index < first + count; index++) {
+    if (taken.has(index)) continue;
+    const last = kept.at(-1);
+    if (last && last.first + last.count === index) last.count++;
+    else kept.push({ block, first: index, count: 1 });
+  }
+  return kept;
 }
 
 /**
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -59,6 +59,8 @@
 const servingShare = 3;
 /** Older knowledge than so many report intervals starts nothing. */
 const startingReports = 2;
+/** A watch that has brought nothing of what others have seen for so long is lost; a slow one takes less than that. */
+const watchReports = 1.5;
 /** How long the peers are told of machines that have come up, or are proven gone. */
 const toldMs = 20_000;
 
@@ -86,6 +88,7 @@
 export class Controller {
   private readonly clock = steadyClock;
   private readonly boot = randomUUID();
+  private readonly answeringSpanMs: number;
   private readonly types = new Map<string, MachineType>();
   /** What most slices need; a term adds itself for what only a leader runs. */
   private readonly parts: Parts;
@@ -114,6 +117,7 @@
     private readonly signal: AbortSignal,
   ) {
     const { clock, boot } = this;
+    this.answeringSpanMs = answeringSpan(settings);
     // Every call in flight listens on it, and there may be many.
     setMaxListeners(0, signal);
     const store = new StoreClient(settings, clock, signal);
@@ -293,24 +297,26 @@
   /** Without the store we cannot know whom users were told is cancelled, so leases must run out in time. */
   private mayAnswer(): boolean {
     const { ttlMs } = this.membership;
-    // The usual case, asked for with every report: no word of any peer could shorten this.
     const now = this.clock();
-    const facts = this.answeringFacts(now);
-    if (now <= facts.knownUntil + answeringSpan(facts) && now - facts.lastContact <= ttlMs) return true;
-    facts.peers = this.settings.peers.map((peer) => this.peers.word(peer.label));
+    const { lastContact } = this.store;
+    // The usual case, asked for with every report: no word of any peer could shorten this.
+    if (now <= this.knownUntil + this.answeringSpanMs && now - lastContact <= ttlMs) return true;
+    const { cancelMs, leaseMs, reportMs, peers } = this.settings;
+    const facts: AnsweringFacts = {
+      ...{ now, knownUntil: this.knownUntil, lastContact, cancelMs, leaseMs, reportMs },
+      peers: peers.map((peer) => this.peers.word(peer.label)),
+    };
     return now <= answerUntil(facts) && !peerIsServed(facts, ttlMs);
   }
 
-  /** Nothing is started on knowledge that is older than a few reports: what it is for may be over. */
-  private mayStart(): boolean {
-    const knownUntil = this.store.knownUntil(this.mirror.revision);
-    return !this.store.failing && this.clock() - knownUntil < this.settings.reportMs * startingReports;
+  /** The knowledge horizon: every change of the store before this moment is in our copy. */
+  private get knownUntil(): number {
+    return this.store.knownUntil(this.mirror.revision);
   }
 
-  private answeringFacts(now: number): AnsweringFacts {
-    const { cancelMs, leaseMs, reportMs } = this.settings;
-    const knownUntil = this.store.knownUntil(this.mirror.revision);
-    return { now, knownUntil, lastContact: this.store.lastContact, cancelMs, leaseMs, reportMs, peers: [] };
+  /** Nothing is started on knowledge that is older than a few reports: what it is for may be over. */
+  private mayStart(): boolean {
+    return !this.store.failing && this.clock() - this.knownUntil < this.settings.reportMs * startingReports;
   }
 
   /**
@@ -373,8 +379,8 @@
         await store.commit('duty', [{ key: leadKey, version: mirror.version(leadKey) }], []);
       }
       // Others are answered and the watch brings nothing: it is lost, or waits as in an outage.
-      const lateMs = store.lastSighting - store.knownUntil(mirror.revision);
-      const patienceMs = this.settings.reportMs / 2;
+      const lateMs = store.lastSighting - this.knownUntil;
+      const patienceMs = this.settings.reportMs * watchReports;
       if (mirror.ready && lateMs > patienceMs && this.clock() - watchRenewedAt > patienceMs) {
         watchRenewedAt = this.clock();
         store.renewWatch();
--- a/src/store/horizon.ts
+++ b/src/store/horizon.ts
@@ -30,6 +30,8 @@
 
   /** Every change committed before this moment of our clock is in a copy that has reached `revision`. */
   until(revision: number): number {
+    // Asked for with every report, and mostly there is nothing new.
+    if (this.pending.every((sighting) => sighting.revision > revision)) return this.knownAt;
     this.pending = this.pending.filter((sighting) => {
       if (sighting.revision > revision) return true;
       this.knownAt = Math.max(this.knownAt, sighting.sentAt);
