Intents that the block's new record no longer allows are withdrawn, not committed again

Cause of the quota break: intents chosen under a share, whose commit failed for the block's version, stayed on the board and were committed again under the record that had cut the share, while the leader gave the room to another block. The same brought tasks to machines that the record calls leaving. The board now withdraws what the record that it has just read does not allow; the commit is conditioned on that record.

--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -142,6 +142,7 @@
       valueBytes,
       pageBytes,
       reportMs: settings.reportMs,
+      teams: settings.teams,
       clock,
       wallClock,
       order,
--- a/src/placement/board.ts
+++ b/src/placement/board.ts
@@ -31,6 +31,8 @@
   clock: Clock;
   wallClock?: () => number;
   order?: OrderOfWork;
+  /** The teams of the settings: the block may use a share of the limits that they have. */
+  teams: ReadonlyMap<string, Team>;
 }
 
 /** Causes that speak against the machine or the job, rather than being our own doing. */
@@ -100,6 +102,7 @@
       if (machine.tasks.size === 0) this.forget(machine.id);
       else machine.leaving = true;
     }
+    this.withdrawDisallowed();
   }
 
   /**
@@ -222,8 +225,8 @@
     return usage;
   }
 
-  /** The team with what this block may use of its limits. Without a share of a limit, it may use none of it. */
-  limitsOf(team: Team): Team {
+  /** Without a share of a limit, the block may use none of it. */
+  private limitsOf(team: Team): Team {
     const [cpus, accelerators] = this.shares[team.name] ?? [0, 0];
     // A limit of 0 means none; a share of 0 of a limit must not be mistaken for that.
     const part = (limit: number, share: number): number =>
@@ -258,6 +261,30 @@
     }
   }
 
+  /**
+   * An intent was chosen under an earlier record of the block, and its next commit is conditioned on this one. What this
+   * record no longer allows must not ride along: the leader may have given the room to another block already.
+   */
+  private withdrawDisallowed(): void {
+    const placing = [...this.jobs.values()].flatMap((job) => (job.active > 0 ? job.placingTasks() : []));
+    if (placing.length === 0) return;
+    const usage = this.usage();
+    for (const task of placing) {
+      const { team, need } = task.job;
+      const machine = this.machines.get(task.machine);
+      const mayBeUsed = machine !== undefined && !machine.leaving;
+      if (mayBeUsed && !usage.exceeds(this.shareOf(team))) continue;
+      usage.add(team, need, -1);
+      this.takeOff(task);
+    }
+  }
+
+  /** The team with what this block may use of its limits; undefined where the settings do not know it. */
+  shareOf(name: string): Team | undefined {
+    const team = this.options.teams.get(name);
+    return team && this.limitsOf(team);
+  }
+
   /** Drops intents that are not committed and now never will be; where that commit is under way, it decides. */
   private withdraw(job: JobState): void {
     for (const task of [...job.tasks.values()]) {
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -239,6 +239,11 @@
     for (const task of this.tasks.values()) if (this.chunkOf(task.index) === chunk) yield task;
   }
 
+  /** Tasks whose intent is not committed yet. */
+  placingTasks(): Task[] {
+    return [...this.tasks.values()].filter((task) => task.phase === 'placing');
+  }
+
   /** An ended job without tasks on machines needs no record of its run. */
   leaveLedger(now: number): void {
     for (const chunk of this.chunks.values()) {
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -1,38 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type JobSpec, type Order, type Report, type TaskState, taskKey } from '../model/types.js';
-import { silentLog } from '../base/log.js';
-import type { CommitOutcome, StoreClient } from '../store/client.js';
-import type { CommitStage } from '../store/commit-stage.js';
+import { type JobSpec, type Order, type TaskState, taskKey } from '../model/types.js';
+import { createBlockStage, emptyReport, jobSpec, valueBytes } from '../testing/block-stage.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { testSettings } from '../testing/settings.js';
 import { parseMachineTypes } from '../wire/cloud.js';
 import { sizeOf } from '../wire/codec.js';
 import { ledgerPage, tasksPerChunk } from '../wire/records.js';
-import type { Condition } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { stragglers } from '../workers/slowness.js';
 import { Board } from './board.js';
-import { Census } from './census.js';
-import { JobState, type Task } from './job-state.js';
+import { JobState } from './job-state.js';
 import { Ledger, snapshot } from './ledger.js';
 import { Usage, plan } from './plan.js';
-import { Scheduler } from './scheduler.js';
-
-const valueBytes = 32 * 1024;
-const spec = (id: string, tasks: number): JobSpec => ({
-  ...{ id, jobClass: 'x', team: 'red', urgency: 'standard', tasks, cpus: 2, accelerators: 0, memoryGb: 2 },
-  ...{ image: 'i', imageGb: 1, types: null, zone: null, oneZone: false, spread: false, spot: false },
-  ...{ estimateS: 10, checkpointS: 0, saveS: 0, deadlineS: null, acceptedAt: 0 },
-});
-
-function report(machine: string, seq: number): Omit<Report, 'token'> {
-  const place = { address: 'x', type: 'c8', zone: 'a', spot: false, noticeS: null };
-  return { machine, ...place, session: 1, seq, tasks: [] };
-}
 
 function jobIn(ledger: Ledger, id: string, tasks: number): JobState {
-  const job = JobState.of(spec(id, tasks), 1, { block: 0, ledger, perChunk: tasksPerChunk(valueBytes) });
+  const job = JobState.of(jobSpec(id, tasks), 1, { block: 0, ledger, perChunk: tasksPerChunk(valueBytes) });
   job.assignRanges([{ block: 0, first: 0, count: tasks }], 1);
   return job;
 }
@@ -100,7 +83,7 @@
   const machines = [machine('m1', true), machine('m2', false)];
   const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t]));
   const ledger = new Ledger(valueBytes);
-  const job = JobState.of({ ...spec('req-1', 6), spot: true }, 1, { block: 0, ledger, perChunk: 100 });
+  const job = JobState.of({ ...jobSpec('req-1', 6), spot: true }, 1, { block: 0, ledger, perChunk: 100 });
   job.assignRanges([{ block: 0, first: 0, count: 6 }], 1);
   const place = (): string[] => {
     const facts = { now: 0, jobs: [job], machines, types, most: 9, usable: () => true };
@@ -122,56 +105,13 @@
   assert.deepEqual(place(), ['m2', 'm2']);
 });
 
-interface Stage {
-  board: Board;
-  scheduler: Scheduler;
-  put: (version: number) => void;
-  /** Has the machine report, so that it may be used, and places on it. */
-  place: (machine: string) => Promise<void>;
-  stop: AbortController;
-  task: () => Task | undefined;
-}
-
-/** A block with two machines and one job of one task, whose commits are answered as the test likes. */
-function stageWith(answer: (conditions: Condition[], stage: Stage) => CommitOutcome): Stage {
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0 });
-  const stop = new AbortController();
-  const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
-  const machines = ['m1', 'm2'].map((id) => ({ id, token: 7, ...leased }));
-  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines }, 7);
-  const commits = {
-    full: false,
-    commit: (conditions: Condition[]) => Promise.resolve(answer(conditions, stage)),
-  } as unknown as CommitStage;
-  const scheduler = new Scheduler({
-    ...{ clock: () => 0, log: silentLog, settings: testSettings(), signal: stop.signal },
-    store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
-    ...{ commits, board, census: new Census(() => 0) },
-    types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
-  });
-  const value = { spec: { ...spec('req-1', 1), team: 'blue' }, parts: [[0, 0, 1]] };
-  const stage: Stage = {
-    ...{ board, scheduler, stop },
-    put: (version) => board.apply([{ key: 'job/req-1', value, version, deleted: false }]),
-    place: async (id) => {
-      const machine = board.machines.get(id) as MachineState;
-      board.report(machine, { ...report(id, machine.seq + 1), token: 7 }, true);
-      scheduler.placeNow(machine);
-      await new Promise((resolve) => setImmediate(resolve));
-    },
-    task: () => board.jobs.get('req-1')?.tasks.get(0),
-  };
-  stage.put(3);
-  return stage;
-}
-
 // Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
 test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
   const seen: number[] = [];
-  const stage = stageWith((conditions, { put }) => {
+  const stage = createBlockStage((conditions, { putJob }) => {
     seen.push(conditions.find((c) => c.key === 'job/req-1')?.version ?? 0);
     if (seen.length > 1) return { kind: 'applied', revision: 9 };
-    put(5);
+    putJob(5);
     return { kind: 'conflict', failed: ['job/req-1'], revision: 6 };
   });
   await stage.place('m1');
@@ -183,11 +123,11 @@
 // Guards against a start that no commit speaks of: the machine went while its intent was on the way.
 test('a commit confirms the attempt that it was made for, and no later one', async () => {
   let commits = 0;
-  const stage = stageWith((_conditions, { board, scheduler }) => {
+  const stage = createBlockStage((_conditions, { board, scheduler }) => {
     if (commits++ === 0) {
       board.remove('m1');
       const other = board.machines.get('m2') as MachineState;
-      board.report(other, { ...report('m2', 1), token: 7 }, true);
+      board.report(other, { ...emptyReport('m2', 1), token: 7 }, true);
       scheduler.placeNow(other);
       assert.deepEqual([stage.task()?.machine, stage.task()?.phase], ['m2', 'placing']);
       return { kind: 'applied', revision: 8 };
@@ -203,7 +143,7 @@
 // for minutes on end was turned down, its intents among them.
 test("a job's end is conditioned on the job alone", async () => {
   const ends: string[][] = [];
-  const stage = stageWith((conditions) => {
+  const stage = createBlockStage((conditions) => {
     const keys = conditions.map((c) => c.key);
     if (keys.includes('end/req-1')) ends.push(keys);
     return { kind: 'applied', revision: 9 };
@@ -211,7 +151,7 @@
   await stage.place('m1');
   const done = { job: 'req-1', index: 0, attempt: 1, state: 'ended' as const, cause: 'done' };
   const machine = stage.board.machines.get('m1') as MachineState;
-  stage.board.report(machine, { ...report('m1', machine.seq + 1), token: 7, tasks: [done] }, true);
+  stage.board.report(machine, { ...emptyReport('m1', machine.seq + 1), token: 7, tasks: [done] }, true);
   void stage.scheduler.run();
   for (let i = 0; i < 100 && ends.length === 0; i++) await new Promise((resolve) => setTimeout(resolve, 20));
   stage.stop.abort();
@@ -221,7 +161,7 @@
 // Its reports arrive, so it is never silent, while answers and commands do not reach it.
 test('a machine that is told and told again without doing it counts as deaf; one that does as told does not', () => {
   let now = 0;
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now });
+  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now, teams: new Map() });
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
   board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
   const machine = board.machines.get('m1') as MachineState;
@@ -229,7 +169,7 @@
     const tasks = Object.entries(states).map(([index, state]) => ({
       ...{ job: 'req-1', index: Number(index), attempt: 1, state, cause: '' },
     }));
-    return board.report(machine, { ...report('m1', seq), token, tasks }, true).verdict;
+    return board.report(machine, { ...emptyReport('m1', seq), token, tasks }, true).verdict;
   };
   // Our token never comes back.
   assert.equal(hear(1, 3), 'unreconciled');
@@ -238,7 +178,7 @@
   assert.equal(hear(2, 7), 'reconciled');
   assert.equal(machine.deafSince(), undefined);
   // A start that was ordered and does not show.
-  const job = JobState.of(spec('req-1', 1), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
+  const job = JobState.of(jobSpec('req-1', 1), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
   job.assignRanges([{ block: 0, first: 0, count: 1 }], 1);
   board.jobs.set('req-1', job);
   placeAll(job, 'm1');
@@ -262,11 +202,11 @@
 // Guards against a job that waits minutes for its last task on a machine that is many times slower than its kind.
 test('a task that runs several times as long as its like is stopped, and its machine gets no more', () => {
   let now = 0;
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now });
+  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now, teams: new Map() });
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
   board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
   const machine = board.machines.get('m1') as MachineState;
-  const job = JobState.of(spec('req-1', 4), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
+  const job = JobState.of(jobSpec('req-1', 4), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
   job.assignRanges([{ block: 0, first: 0, count: 4 }], 1);
   board.jobs.set('req-1', job);
   placeAll(job, 'm1');
@@ -278,7 +218,7 @@
     const tasks = states.map((state, index) => ({
       ...{ job: 'req-1', index, attempt: 1, state, cause: state === 'ended' ? 'done' : '' },
     }));
-    return board.report(machine, { ...report('m1', seq), token: 7, tasks }, true).orders;
+    return board.report(machine, { ...emptyReport('m1', seq), token: 7, tasks }, true).orders;
   };
   hear(1, ['running', 'running', 'running', 'running']);
   now = 12_000;
@@ -299,7 +239,7 @@
 // no task of the job anywhere, and what was bound to the zone of its others started in any.
 test('a round over the machines of a board heeds the zones of tasks that are there already', () => {
   const places = (change: Partial<JobSpec>, on: string[]): string[] => {
-    const job = JobState.of({ ...spec('req-1', 4), ...change }, 1, {
+    const job = JobState.of({ ...jobSpec('req-1', 4), ...change }, 1, {
       ...{ block: 0, ledger: new Ledger(valueBytes), perChunk: tasksPerChunk(valueBytes) },
     });
     job.assignRanges([{ block: 0, first: 0, count: 4 }], 1);
--- a/src/placement/plan.ts
+++ b/src/placement/plan.ts
@@ -45,6 +45,15 @@
     entry.accelerators += need.accelerators * times;
   }
 
+  /** The team uses more than its limit. */
+  exceeds(team: Team | undefined): boolean {
+    if (!team) return false;
+    const used = this.of(team.name);
+    return (
+      !withinLimit(used.cpus, 0, team.cpusMax) || !withinLimit(used.accelerators, 0, team.acceleratorsMax)
+    );
+  }
+
   admits(team: Team | undefined, need: Resources): boolean {
     if (!team) return false;
     const used = this.of(team.name);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -166,10 +166,7 @@
       cheap: this.cheap,
       partial: machines !== undefined,
       types: types(),
-      team: (name) => {
-        const team = settings.teams.get(name);
-        return team && board.limitsOf(team);
-      },
+      team: (name) => board.shareOf(name),
       usage: () => board.usage(),
       most: settings.state.txnOps * roundTransactions,
       usable: (machine) => this.usable(machine),
--- /dev/null
+++ b/src/testing/block-stage.ts
@@ -0,0 +1,108 @@
+/** One block under test: a board and a scheduler whose commits are answered by the test. */
+import { silentLog } from '../base/log.js';
+import type { JobSpec, Report } from '../model/types.js';
+import { Board } from '../placement/board.js';
+import { Census } from '../placement/census.js';
+import type { Task } from '../placement/job-state.js';
+import { Scheduler } from '../placement/scheduler.js';
+import type { CommitOutcome, StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import { parseMachineTypes } from '../wire/cloud.js';
+import type { LeasedMachine, Shares } from '../wire/records.js';
+import type { Condition } from '../wire/state.js';
+import type { MachineState } from '../workers/machine-state.js';
+import { machineType } from './cloud-standin.js';
+import { testSettings } from './settings.js';
+
+/** Largest value of the state service in these tests, in bytes. */
+export const valueBytes = 32 * 1024;
+const jobId = 'req-1';
+const firstBlockVersion = 7;
+const machineToken = 7;
+
+/** A job of the limited team `red` whose tasks take 2 CPUs each. */
+export function jobSpec(id: string, tasks: number): JobSpec {
+  return {
+    ...{ id, jobClass: 'x', team: 'red', urgency: 'standard', tasks, cpus: 2, accelerators: 0, memoryGb: 2 },
+    ...{ image: 'i', imageGb: 1, types: null, zone: null, oneZone: false, spread: false, spot: false },
+    ...{ estimateS: 10, checkpointS: 0, saveS: 0, deadlineS: null, acceptedAt: 0 },
+  };
+}
+
+/** A report of a machine without tasks. */
+export function emptyReport(machine: string, seq: number): Omit<Report, 'token'> {
+  const place = { address: 'x', type: 'c8', zone: 'a', spot: false, noticeS: null };
+  return { machine, ...place, session: 1, seq, tasks: [] };
+}
+
+export interface BlockStage {
+  board: Board;
+  scheduler: Scheduler;
+  /** Writes the job's record with this version. */
+  putJob: (version: number) => void;
+  /** Writes the block's record with this version, leaving the machines as they are unless others are given. */
+  putBlock: (version: number, change: { shares?: Shares; leaving?: string[] }) => void;
+  /** Has the machine report, so that it may be used, and places tasks on it. */
+  place: (machine: string) => Promise<void>;
+  stop: AbortController;
+  task: (index?: number) => Task | undefined;
+}
+
+export interface BlockStageOptions {
+  /** `blue` has no limit, `red` has one. */
+  team?: string;
+  tasks?: number;
+  shares?: Shares;
+}
+
+/** A block with the machines m1 and m2 and one job. */
+export function createBlockStage(
+  answer: (conditions: Condition[], stage: BlockStage) => CommitOutcome,
+  { team = 'blue', tasks = 1, shares = {} }: BlockStageOptions = {},
+): BlockStage {
+  const settings = testSettings();
+  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0, teams: settings.teams });
+  const stop = new AbortController();
+  const commits = {
+    full: false,
+    commit: (conditions: Condition[]) => Promise.resolve(answer(conditions, stage)),
+  } as unknown as CommitStage;
+  const scheduler = new Scheduler({
+    ...{ clock: () => 0, log: silentLog, settings, signal: stop.signal },
+    store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
+    ...{ commits, board, census: new Census(() => 0) },
+    types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
+  });
+  const record = { spec: { ...jobSpec(jobId, tasks), team }, parts: [[0, 0, tasks]] };
+  const stage: BlockStage = {
+    ...{ board, scheduler, stop },
+    putJob: (version) => void board.apply([{ key: `job/${jobId}`, value: record, version, deleted: false }]),
+    putBlock: (version, change) =>
+      board.applyBlock(
+        {
+          owner: 'k',
+          boot: 'b',
+          shares: change.shares ?? shares,
+          machines: machinesOf(change.leaving ?? []),
+        },
+        version,
+      ),
+    place: async (id) => {
+      const machine = board.machines.get(id) as MachineState;
+      board.report(machine, { ...emptyReport(id, machine.seq + 1), token: machineToken }, true);
+      scheduler.placeNow(machine);
+      await new Promise((resolve) => setImmediate(resolve));
+    },
+    task: (index = 0) => board.jobs.get(jobId)?.tasks.get(index),
+  };
+  stage.putBlock(firstBlockVersion, {});
+  stage.putJob(3);
+  return stage;
+}
+
+function machinesOf(leaving: string[]): LeasedMachine[] {
+  return ['m1', 'm2'].map((id) => ({
+    ...{ id, token: machineToken, type: 'c8', zone: 'a', spot: false, since: 0 },
+    leaving: leaving.includes(id),
+  }));
+}
--- /dev/null
+++ b/src/testing/load.ts
@@ -0,0 +1,182 @@
+/**
+ * Load driver: three controllers as processes of their own, and stand-ins for the state service, the cloud, workers and
+ * users in this one. Prints what each controller needed of processor time and memory. For maintainers:
+ *
+ *     node target/test/testing/load.js [--machines 632] [--seconds 60] [--jobs-per-second 4] [--profile DIR]
+ */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { HttpPeer } from '../base/http.js';
+import { submission } from './cluster.js';
+import { CloudStandIn, type RentedMachine } from './cloud-standin.js';
+import { History } from './history.js';
+import { seeded } from './seeded.js';
+import { settingsJson } from './settings.js';
+import { StoreStandIn } from './store-standin.js';
+import { WorkerStandIn } from './worker-standin.js';
+
+const labels = ['keel-0', 'keel-1', 'keel-2'];
+const zones = ['a', 'b', 'b'];
+const firstPort = 27_000;
+const reportMs = 4000;
+const leaseMs = 20_000;
+const taskMs = 30_000;
+const tasksPerJob = 8;
+const pollMs = 5000;
+const ticksPerSecond = 100;
+
+const { values } = parseArgs({
+  options: {
+    machines: { type: 'string', default: '632' },
+    seconds: { type: 'string', default: '60' },
+    'warm-up': { type: 'string', default: '40' },
+    'jobs-per-second': { type: 'string', default: '4' },
+    profile: { type: 'string' },
+  },
+});
+
+const servingAddress = (node: number): string => `127.0.0.1:${firstPort + 10 + node}`;
+const peerAddress = (node: number): string => `127.0.0.1:${firstPort + 20 + node}`;
+
+function writeSettings(directory: string, node: number): string {
+  const others = labels
+    .map((label, i) => ({ label, location: zones[i], address: peerAddress(i) }))
+    .filter((other) => other.label !== labels[node]);
+  const json = settingsJson((file) => {
+    Object.assign(file, { label: labels[node], location: zones[node], others });
+    Object.assign(file, { serve_on: servingAddress(node), back: peerAddress(node) });
+    file['endpoints'] = { state: `127.0.0.1:${firstPort}`, cloud: `127.0.0.1:${firstPort + 5}` };
+    const inner = file['settings'] as Record<string, unknown>;
+    inner['teams'] = [{ name: 'red', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }];
+    inner['workers'] = { report_s: reportMs / 1000, lease_s: leaseMs / 1000, cancel_s: 50 };
+    inner['state'] = { rps: 250, write_rps: 100, value_kb: 32, txn_ops: 32 };
+    inner['cloud'] = { rps: 50, list_lag_s: 1 };
+    inner['quota'] = { cores: 0.043, mem_mb: 165, max_sockets: 1500 };
+  });
+  const path = join(directory, `${labels[node]}.json`);
+  writeFileSync(path, json);
+  return path;
+}
+
+/** The program as `deploy/service.toml` starts it, with a CPU profile where one is asked for. */
+function startController(settingsPath: string): ChildProcess {
+  const deployment = readFileSync('deploy/service.toml', 'utf8');
+  const [program = '', ...words] = /^run = "(.*)"$/m.exec(deployment)?.[1]?.split(' ') ?? [];
+  const profile = values.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${values.profile}`];
+  return spawn(program, [...profile, ...words, settingsPath], { stdio: ['ignore', 'ignore', 'inherit'] });
+}
+
+/** Processor time so far in seconds, and the memory that the process holds now and held at most, in MB. */
+function usageOf(pid: number): { cpuS: number; rssMb: number; peakMb: number } {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const megabytes = (name: string): number =>
+    Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)?.[1]) / 1024);
+  const cpuS = (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
+  return { cpuS, rssMb: megabytes('VmRSS'), peakMb: megabytes('VmHWM') };
+}
+
+const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Submits jobs at an even rate, and asks for each until it has ended. */
+class Users {
+  readonly counts = { accepted: 0, turnedAway: 0, done: 0 };
+  private readonly peers = labels.map((_, node) => new HttpPeer(servingAddress(node), 100));
+  private submitted = 0;
+
+  async run(jobsPerSecond: number, stop: AbortSignal): Promise<void> {
+    while (!stop.aborted) {
+      void this.follow(`req-${100_000 + this.submitted++}`, stop);
+      await pause(1000 / jobsPerSecond);
+    }
+  }
+
+  private async follow(id: string, stop: AbortSignal): Promise<void> {
+    while (!stop.aborted && !(await this.submit(id))) await pause(1000);
+    for (let status = ''; !stop.aborted && status !== 'done';) {
+      await pause(pollMs);
+      status = await this.ask(id);
+    }
+    this.counts.done++;
+  }
+
+  private async submit(id: string): Promise<boolean> {
+    const job = submission(id, tasksPerJob, { loaners: true, cpus: 2.5, expectS: taskMs / 1000 });
+    const answer = await this.call('POST', '/v2/runs', job);
+    const accepted = answer === 200 || answer === 201;
+    this.counts[accepted ? 'accepted' : 'turnedAway']++;
+    return accepted;
+  }
+
+  private async call(method: string, path: string, body?: unknown): Promise<number> {
+    const peer = this.peers[Math.floor(Math.random() * labels.length)] as HttpPeer;
+    const answer = await peer.exchange(method, path, body, { timeoutMs: 5000 }).catch(() => undefined);
+    return answer?.status ?? 0;
+  }
+
+  private async ask(id: string): Promise<string> {
+    const peer = this.peers[Math.floor(Math.random() * labels.length)] as HttpPeer;
+    const answer = await peer
+      .exchange('GET', `/v2/runs/${id}`, undefined, { timeoutMs: 2000 })
+      .catch(() => undefined);
+    return String((answer?.body as { status?: string } | undefined)?.status);
+  }
+}
+
+async function main(): Promise<void> {
+  const directory = mkdtempSync(join(tmpdir(), 'shalekeel-load-'));
+  const store = new StoreStandIn({ rps: 250, writeRps: 100, txnOps: 32 });
+  const cloud = new CloudStandIn();
+  const random = seeded(1);
+  const history = new History();
+  const workers = new Map<string, WorkerStandIn>();
+  cloud.capacity = Math.ceil(Number(values.machines) / 2);
+  cloud.onRent = (machine: RentedMachine) => {
+    const worker = new WorkerStandIn(machine, {
+      ...{
+        reportMs,
+        leaseMs,
+        answerMs: 4000,
+        fetchMs: 500,
+        saveMs: 0,
+        taskMs: () => taskMs * (0.5 + random()),
+      },
+      nodes: labels.map((label, node) => ({ label, address: servingAddress(node) })),
+      ...{ reaches: () => true, history, random, onDone: () => undefined },
+    });
+    workers.set(machine.id, worker);
+    void worker.run();
+  };
+  cloud.onRelease = (id) => {
+    workers.get(id)?.end();
+    workers.delete(id);
+  };
+  await Promise.all([store.listen(firstPort), cloud.listen(firstPort + 5)]);
+  const controllers = labels.map((_, node) => startController(writeSettings(directory, node)));
+  const stop = new AbortController();
+  const users = new Users();
+  void users.run(Number(values['jobs-per-second']), stop.signal);
+  await pause(Number(values['warm-up']) * 1000);
+  const before = controllers.map((controller) => usageOf(controller.pid ?? 0));
+  await pause(Number(values.seconds) * 1000);
+  const after = controllers.map((controller) => usageOf(controller.pid ?? 0));
+  for (const [node, label] of labels.entries()) {
+    const [from, to] = [before[node], after[node]];
+    if (!from || !to) continue;
+    const share = (100 * (to.cpuS - from.cpuS)) / Number(values.seconds);
+    const memory = `${to.rssMb} MB now, ${to.peakMb} MB at most`;
+    process.stdout.write(
+      `${label}: ${share.toFixed(1)}% of a core, start ${from.cpuS.toFixed(1)} s, ${memory}\n`,
+    );
+  }
+  process.stdout.write(`${workers.size} machines, users ${JSON.stringify(users.counts)}\n`);
+  stop.abort();
+  for (const controller of controllers) controller.kill('SIGTERM');
+  await pause(3000);
+  process.exit(0);
+}
+
+await main();
--- a/src/testing/traces.ts
+++ b/src/testing/traces.ts
@@ -16,7 +16,13 @@
  *     gone m1                        the cloud has proven the machine gone
  */
 export function runTrace(path: string): { expected: string[]; actual: string[] } {
-  const board = new Board({ block: 0, valueBytes: 32 * 1024, reportMs: 1000, clock: () => now });
+  const board = new Board({
+    block: 0,
+    valueBytes: 32 * 1024,
+    reportMs: 1000,
+    clock: () => now,
+    teams: new Map(),
+  });
   let now = 0;
   const expected: string[] = [];
   const actual: string[] = [];
