Machines are not called silent or deaf while their controller is short of processor time

No single pause showed it, so the check for standstills did not. Now an event loop that hardly ever rests excuses three quarters of the time.

--- a/src/workers/custody.ts
+++ b/src/workers/custody.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
+import { Saturation } from '../base/saturation.js';
 import { Standstill } from '../base/standstill.js';
 import type { Log } from '../base/log.js';
 import { type CloudClient, releaseLimit } from '../cloud/client.js';
@@ -7,7 +8,7 @@
 import type { Board } from '../placement/board.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import { nobodyIsHeard, silentMachines } from './silence.js';
+import { excusedMs, nobodyIsHeard, silentMachines } from './silence.js';
 import { stragglers } from './slowness.js';
 
 export interface CustodyPorts {
@@ -43,10 +44,14 @@
     const { board, cloud, signal, log, onFreed, settings, clock, inTouch, onUnheard } = this.ports;
     const pauseMs = settings.reportMs / looksPerReport;
     const standstill = new Standstill(clock, pauseMs);
+    const saturation = new Saturation();
+    let lookedAt = clock();
     let inTouchSince = clock();
     while (!signal.aborted) {
-      const heldUpMs = standstill.look();
-      if (heldUpMs > 0) for (const machine of board.machines.values()) machine.excuse(heldUpMs);
+      const passedMs = clock() - lookedAt;
+      lookedAt += passedMs;
+      const excuseMs = excusedMs({ passedMs, heldUpMs: standstill.look(), saturated: saturation.look() });
+      if (excuseMs > 0) for (const machine of board.machines.values()) machine.excuse(excuseMs);
       // Without the store the block may be another's by now, and nothing that a release frees could start again.
       if (!inTouch()) {
         inTouchSince = clock();
--- a/src/workers/silence.ts
+++ b/src/workers/silence.ts
@@ -9,6 +9,19 @@
 /** Each reports within so many report intervals at the latest. */
 const longestGap = 1.25;
 
+/** While we are short of processor time, this part of it is not held against the machines. */
+const saturatedExcuse = 0.75;
+
+/**
+ * How much of the time that has passed says nothing of the machines, since we ourselves were held up or slow: reports and
+ * answers that were under way in it have waited for us. Part of it counts all the same, so that a machine that has died is
+ * found out though a burst may keep us busy for minutes.
+ */
+export function excusedMs(time: { passedMs: number; heldUpMs: number; saturated: boolean }): number {
+  const { passedMs, heldUpMs, saturated } = time;
+  return saturated ? Math.max(heldUpMs, passedMs * saturatedExcuse) : heldUpMs;
+}
+
 /** No machine is heard of at all, where many were: it is most likely we who are cut off from the workers. */
 export function nobodyIsHeard(machines: Iterable<MachineState>, now: number, reportMs: number): boolean {
   const heard = [...machines].filter((m) => m.seen && m.releasing === '');
--- a/src/workers/workers.test.ts
+++ b/src/workers/workers.test.ts
@@ -1,11 +1,12 @@
 import assert from 'node:assert/strict';
 import { readdirSync } from 'node:fs';
 import { describe, test } from 'node:test';
+import { Saturation, type UtilizationProbe } from '../base/saturation.js';
 import { Standstill } from '../base/standstill.js';
 import { runTrace } from '../testing/traces.js';
 import type { Task } from '../placement/job-state.js';
 import { MachineState } from './machine-state.js';
-import { nobodyIsHeard, silentMachines } from './silence.js';
+import { excusedMs, nobodyIsHeard, silentMachines } from './silence.js';
 
 describe('traces of reports and what comes of them', () => {
   const folder = 'src/workers/traces';
@@ -72,6 +73,28 @@
   assert.deepEqual(look(28_001), [1, 25_000]);
 });
 
+// Guards against two hundred machines that were called deaf by a controller with too little processor time after a restart:
+// each round of releases made more work than it saved. A machine that has died must be found out all the same.
+test('who is short of processor time waits longer before it judges machines, and finds out the dead in the end', () => {
+  let utilization = 1;
+  const probe: UtilizationProbe = () => ({ idle: 0, active: 0, utilization });
+  const saturation = new Saturation(probe);
+  const times = { reportMs: 1000, leaseMs: 6000, cancelMs: 16_000 };
+  const releasedAt = (): number => {
+    const state = new MachineState('m1', 0);
+    state.place = { id: 'm1', type: 'c8', zone: 'a', spot: false };
+    state.seen = true;
+    for (let now = 500; now < 60_000; now += 500) {
+      state.excuse(excusedMs({ passedMs: 500, heldUpMs: 0, saturated: saturation.look() }));
+      if (silentMachines([state], now, times, 3).length > 0) return now;
+    }
+    return Infinity;
+  };
+  assert.equal(releasedAt(), 12_500);
+  utilization = 0.8;
+  assert.equal(releasedAt(), 3500);
+});
+
 // Guards against a controller that has lost its workers alone and keeps their block until all their leases have run out.
 test('who hears none of many machines is most likely cut off itself; one that speaks, or few, say nothing of it', () => {
   const machine = (lastSeen: number): MachineState => {
