--- a/src/base/direct-connections.test.ts
+++ b/src/base/direct-connections.test.ts
@@ -45,7 +45,7 @@
 test('reports are answered whole or in pieces, and other requests on the same connection get their answers too', async () => {
   const stop = new AbortController();
   const bodies: unknown[] = [];
-  const direct: LeanRoute = {
+  const hello: LeanRoute = {
     method: 'POST',
     path: '/hello',
     handle: (body, answer) => {
@@ -54,9 +54,14 @@
       setTimeout(() => answer({ status: 200, body: { helm: 7 } }), 20);
     },
   };
+  const health: LeanRoute = {
+    method: 'GET',
+    path: '/up',
+    handle: (_body, answer) => answer({ status: 200 }),
+  };
   const users: RequestHandler = (_request, response) => send(response, { status: 404 });
   const loadHandler = (): Promise<RequestHandler> => Promise.resolve(users);
-  const listen = { lean: [direct], direct, loadHandler, log: silentLog, host: '127.0.0.1', port };
+  const listen = { lean: [hello, health], loadHandler, log: silentLog, host: '127.0.0.1', port };
   const served = serveWeb({ ...listen, maxConnections: 20, idleMs: 5000 }, stop.signal);
   await new Promise((resolve) => setTimeout(resolve, 100));
 
@@ -68,17 +73,28 @@
   await worker.heard(2);
   worker.say(request('/hello', Buffer.from([0x82, 0xa1])));
   await worker.heard(3);
-  worker.say(request('/hello', encode('fail')));
+  worker.say('GET /up HTTP/1.1\r\nHost: x\r\n\r\n');
   await worker.heard(4);
+  worker.say(request('/hello', encode('fail')));
+  await worker.heard(5);
   // From here on the ordinary server has the connection.
   worker.say(report.subarray(0, 30));
   await new Promise((resolve) => setTimeout(resolve, 50));
   worker.say(report.subarray(30));
-  await worker.heard(5);
-  worker.say(request('/v2/runs', encode({})));
   await worker.heard(6);
+  worker.say(request('/v2/runs', encode({})));
+  await worker.heard(7);
   worker.say(report);
-  assert.deepEqual(statusesIn(await worker.heard(7)), ['200', '200', '400', '503', '200', '404', '200']);
+  assert.deepEqual(statusesIn(await worker.heard(8)), [
+    '200',
+    '200',
+    '400',
+    '200',
+    '503',
+    '200',
+    '404',
+    '200',
+  ]);
   assert.deepEqual(bodies, [{ host: 'vm-1' }, { host: 'vm-1' }, 'fail', { host: 'vm-1' }, { host: 'vm-1' }]);
 
   const closing = await client();
--- a/src/base/direct-connections.ts
+++ b/src/base/direct-connections.ts
@@ -1,27 +1,33 @@
 /**
- * The short path of a lean POST route: a request that arrives whole in one piece is answered straight from its socket.
+ * The short path of the lean routes: a request that arrives whole in one piece is answered straight from its socket.
  * Node's own server makes a parser, two streams and a dozen events of each, which is most of what a report costs.
  */
 import { STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
-import { decode, encode } from '../wire/codec.js';
+import { encode } from '../wire/codec.js';
 import type { Log } from './log.js';
-import { type LeanRoute, type Reply, malformedReply, replyHeaders, troubleReply } from './web.js';
+import { type LeanRoute, type Reply, handleLean, replyHeaders } from './web.js';
 
 const endOfHead = '\r\n\r\n';
 const contentLength = /\r\ncontent-length: *(\d+) *\r\n/i;
 /** Headers that ask for more than a plain answer; they are for the ordinary server. */
 const unusual = /\r\n(transfer-encoding|expect|upgrade|connection: *close)/i;
 
-/** The body of a request that is whole, and nothing but that; undefined for anything else. */
-function wholeBody(bytes: Buffer, requestLine: string): Buffer | undefined {
+interface WholeRequest {
+  requestLine: string;
+  body: Buffer;
+}
+
+/** A request that is whole, with nothing after it; undefined for anything else. */
+function parseWhole(bytes: Buffer): WholeRequest | undefined {
   const end = bytes.indexOf(endOfHead);
   if (end < 0) return undefined;
   const head = bytes.toString('latin1', 0, end + 2);
-  if (!head.startsWith(requestLine) || unusual.test(head)) return undefined;
-  const length = Number(contentLength.exec(head)?.[1] ?? NaN);
+  if (unusual.test(head)) return undefined;
+  const length = Number(contentLength.exec(head)?.[1] ?? 0);
   const start = end + endOfHead.length;
-  return bytes.length === start + length ? bytes.subarray(start) : undefined;
+  if (bytes.length !== start + length) return undefined;
+  return { requestLine: head.slice(0, head.indexOf('\r\n')), body: bytes.subarray(start) };
 }
 
 /** As one text of one byte a character, which goes out in a single write. */
@@ -34,7 +40,7 @@
 }
 
 export interface DirectOptions {
-  route: LeanRoute;
+  routes: LeanRoute[];
   log: Log;
   /** A connection that says nothing for so long is closed. */
   idleMs: number;
@@ -42,13 +48,13 @@
   delegate: (socket: Socket) => void;
 }
 
-/** Connections on which nothing but whole requests of the route have come so far. */
+/** Connections on which nothing but whole requests of the routes have come so far. */
 export class DirectConnections {
   private readonly sockets = new Set<Socket>();
-  private readonly requestLine: string;
+  private readonly routes: ReadonlyMap<string, LeanRoute>;
 
   constructor(private readonly options: DirectOptions) {
-    this.requestLine = `${options.route.method} ${options.route.path} HTTP/1.1\r\n`;
+    this.routes = new Map(options.routes.map((route) => [`${route.method} ${route.path} HTTP/1.1`, route]));
   }
 
   /** Takes a new connection, and hands it to the ordinary server with the first request that is not for this path. */
@@ -58,14 +64,17 @@
     const onData = (bytes: Buffer): void => {
       // Nobody pipelines here: who speaks before the answer has broken the protocol.
       if (answering) return void socket.destroy();
-      const body = wholeBody(bytes, this.requestLine);
-      if (!body) return handOver(bytes);
+      const request = parseWhole(bytes);
+      const route = request && this.routes.get(request.requestLine);
+      if (!route) return handOver(bytes);
       answering = true;
-      this.serve(body, (reply) => {
+      const answer = (reply: Reply): void => {
         if (!answering || socket.destroyed) return;
         answering = false;
         socket.write(responseText(reply), 'latin1');
-      });
+        if (reply.close === true) socket.end();
+      };
+      handleLean(route, request.body, answer, this.options.log);
     };
     const onEnd = (): void => void socket.end();
     const onTimeout = (): void => void socket.destroy();
@@ -89,20 +98,4 @@
   closeAll(): void {
     for (const socket of this.sockets) socket.destroy();
   }
-
-  private serve(bytes: Buffer, answer: (reply: Reply) => void): void {
-    const { route, log } = this.options;
-    let body: unknown;
-    try {
-      body = bytes.length > 0 ? decode(bytes) : undefined;
-    } catch {
-      return answer(malformedReply);
-    }
-    try {
-      route.handle(body, answer);
-    } catch (error) {
-      log.error({ event: 'request-failed', path: route.path, err: error }, 'request failed');
-      answer(troubleReply);
-    }
-  }
 }
--- a/src/base/standstill.ts
+++ b/src/base/process-pause.ts
@@ -1,3 +1,4 @@
+/** Detection of pauses of this process. */
 import type { Clock } from './clock.js';
 
 /** Beyond so many times its usual pause, a duty was held up, by a standstill or for want of processor time. */
@@ -7,7 +8,7 @@
  * How long a duty that looks at the clock at regular times was held up. Its clock ran on meanwhile while nothing was heard of
  * anybody, so whoever judges others by the time since their last word has to leave that time out.
  */
-export class Standstill {
+export class ProcessPause {
   private lookedAt: number;
 
   constructor(
--- a/src/base/web.ts
+++ b/src/base/web.ts
@@ -56,19 +56,32 @@
   response.end(body.toString('latin1'), 'latin1');
 }
 
+/** Hands a request's whole body to its route. */
+export function handleLean(
+  route: LeanRoute,
+  bytes: Buffer | undefined,
+  answer: (reply: Reply) => void,
+  log: Log,
+): void {
+  let body: unknown;
+  try {
+    body = bytes && bytes.length > 0 ? decode(bytes) : undefined;
+  } catch {
+    return answer(malformedReply);
+  }
+  try {
+    route.handle(body, answer);
+  } catch (error) {
+    log.error({ event: 'request-failed', path: route.path, err: error }, 'request failed');
+    answer(troubleReply);
+  }
+}
+
 function serveLean(route: LeanRoute, request: IncomingMessage, response: ServerResponse, log: Log): void {
   const answer = (reply: Reply): void => {
     if (!response.headersSent && !response.destroyed) send(response, reply);
   };
-  const handle = (body: unknown): void => {
-    try {
-      route.handle(body, answer);
-    } catch (error) {
-      log.error({ event: 'request-failed', path: route.path, err: error }, 'request failed');
-      answer(troubleReply);
-    }
-  };
-  if (route.method === 'GET') return handle(undefined);
+  if (route.method === 'GET') return handleLean(route, undefined, answer, log);
   let bytes: Buffer | undefined;
   request.on('data', (chunk: Buffer) => {
     bytes = bytes ? Buffer.concat([bytes, chunk]) : chunk;
@@ -76,15 +89,7 @@
     request.pause();
     answer(tooLargeReply);
   });
-  request.on('end', () => {
-    let body: unknown;
-    try {
-      body = bytes && decode(bytes);
-    } catch {
-      return answer(malformedReply);
-    }
-    handle(body);
-  });
+  request.on('end', () => handleLean(route, bytes, answer, log));
   // A connection that is lost takes its report with it: the worker sends another.
   request.on('error', () => undefined);
 }
@@ -93,8 +98,6 @@
 
 export interface ListenOptions {
   lean: LeanRoute[];
-  /** The lean route whose requests are answered straight from their sockets. */
-  direct: LeanRoute;
   /** Loads what serves all other requests; called with the first of them. */
   loadHandler: () => Promise<RequestHandler>;
   log: Log;
@@ -125,7 +128,7 @@
   // What the ordinary server does with a connection comes after the short path has declined it.
   const [accept] = server.listeners('connection') as ((socket: Socket) => void)[];
   const delegate = (socket: Socket): void => accept?.call(server, socket);
-  const direct = new DirectConnections({ ...options, route: options.direct, delegate });
+  const direct = new DirectConnections({ ...options, routes: options.lean, delegate });
   server.removeAllListeners('connection');
   server.on('connection', (socket: Socket) => direct.take(socket));
   server.maxConnections = options.maxConnections;
--- a/src/blocks/tenancy.ts
+++ b/src/blocks/tenancy.ts
@@ -15,7 +15,7 @@
 import type { Mirror } from '../store/mirror.js';
 import { type BlockRecord, blockKey, blockRecord, leastPageBytes } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
-import { Custody } from '../workers/custody.js';
+import { HealthMonitor } from '../workers/health-monitor.js';
 import type { MachineState } from '../workers/machine-state.js';
 import { giveTo } from './leasing.js';
 import type { Registry } from './registry.js';
@@ -149,11 +149,16 @@
     });
     board.load(mirror);
     const scheduler = new Scheduler({ ...ports, board, signal: stop.signal });
-    const custody = new Custody({ ...ports, board, signal: stop.signal, onFreed: () => scheduler.poke() });
+    const healthMonitor = new HealthMonitor({
+      ...ports,
+      board,
+      signal: stop.signal,
+      onFreed: () => scheduler.poke(),
+    });
     const tenure = { board, scheduler, stop };
     this.tenures.set(block, tenure);
     void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
-    void runRoutine(`custody-${block}`, signal, log, () => custody.run());
+    void runRoutine(`health-monitor-${block}`, signal, log, () => healthMonitor.run());
     log.info({ event: 'lease-begins', block, jobs: board.jobs.size }, 'block is ours');
     return tenure;
   }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -208,7 +208,7 @@
     };
     const listen = {
       ...splitAddress(settings.serveOn),
-      ...{ lean, direct: desk.route, loadHandler, log },
+      ...{ lean, loadHandler, log },
       maxConnections: Math.floor(settings.quota.sockets * socketShare),
       idleMs: settings.leaseMs * idleLeases,
     };
--- a/src/ladder/witness.ts
+++ b/src/ladder/failure-observer.ts
@@ -1,3 +1,4 @@
+/** Observation of task failures, which the tuning of thresholds counts. */
 import type { Census } from '../placement/census.js';
 import { type Pool, poolKey, poolsFor } from './demand.js';
 import type { LeasedMachine } from '../wire/records.js';
@@ -7,7 +8,7 @@
  * Sees from the census which tasks failed in the paper's sense: they had to wait on arrival, or lost their machine.
  * Waiting for what the cloud refuses is no fault of the ladder's, so it does not count against it.
  */
-export class Witness {
+export class FailureObserver {
   /** Jobs whose arrival has been judged, with the displaced tasks that were counted since. */
   private readonly judged = new Map<string, number>();
 
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -19,7 +19,7 @@
 import { Listing } from './listing.js';
 import { Lack, Surplus } from './surplus.js';
 import { Tuner } from './tuner.js';
-import { Witness } from './witness.js';
+import { FailureObserver } from './failure-observer.js';
 
 export interface FleetPorts {
   clock: Clock;
@@ -65,7 +65,7 @@
   private readonly ladders = new Map<string, { ladder: Ladder; tuner: Tuner }>();
   private readonly surplus = new Surplus();
   private readonly lack: Lack;
-  private readonly witness: Witness;
+  private readonly failureObserver: FailureObserver;
   private readonly tickMs: number;
   private tunedAt: number;
   private loggedAt = -Infinity;
@@ -74,7 +74,7 @@
 
   constructor(private readonly ports: FleetPorts) {
     this.lack = new Lack(ports.operator.ladder);
-    this.witness = new Witness(ports.settings.reportMs);
+    this.failureObserver = new FailureObserver(ports.settings.reportMs);
     this.tickMs = Math.max(leastTickMs, ports.settings.reportMs / looksPerReport);
     this.tunedAt = ports.clock();
     this.listing = new Listing(ports.settings.cloud.listLagMs);
@@ -171,7 +171,7 @@
     });
     this.pools = pools;
     this.logPools(now);
-    for (const { pool, outcome } of this.witness.observe(census, pools, machines, now)) {
+    for (const { pool, outcome } of this.failureObserver.observe(census, pools, machines, now)) {
       this.of(pool).tuner.add(outcome);
     }
     await this.tune(now);
--- a/src/settings/settings.test.ts
+++ b/src/settings/settings.test.ts
@@ -32,6 +32,11 @@
       (file) => ((file['settings'] as { state: Record<string, unknown> }).state['value_kb'] = 0.5),
       /value_kb: must be at least 1/,
     ],
+    // Guards against a process that is ended for its memory as soon as it has started.
+    [
+      (file) => ((file['settings'] as { quota: Record<string, unknown> }).quota['mem_mb'] = 64),
+      /mem_mb: must be at least 96/,
+    ],
   ];
   for (const [spoil, message] of wrong) {
     assert.throws(
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -85,6 +85,9 @@
 
 export class SettingsError extends Error {}
 
+/** A controller without any work holds some 80 MB; below this it would end and start again for ever. */
+const leastMemoryMb = 96;
+
 /** Checks the settings; the error names the first field that is wrong. */
 export function parseSettings(json: string): Settings {
   let raw: unknown;
@@ -105,6 +108,9 @@
   }
   // An end is two changes at once, and a page of the ledger holds an entry at least.
   if (s.state.txn_ops < 2) throw new SettingsError('field settings.state.txn_ops: must be at least 2');
+  if (s.quota.mem_mb < leastMemoryMb) {
+    throw new SettingsError(`field settings.quota.mem_mb: must be at least ${leastMemoryMb}`);
+  }
   const leastKb = Math.ceil(leastPageBytes / 1024);
   if (s.state.value_kb < leastKb) {
     throw new SettingsError(`field settings.state.value_kb: must be at least ${leastKb}`);
--- a/src/store/stretch.ts
+++ b/src/store/adaptive-share.ts
@@ -1,3 +1,4 @@
+/** Adaptive part of a controller's share of the state service's write limit. */
 /** How fast a share grows while it is too small, and shrinks while it is not, and how large it may get. */
 const growth = { aSecond: 0.5, back: 0.1, most: 4 };
 
@@ -6,7 +7,7 @@
  * time, and nobody tells how much they leave: as long as the service refuses nothing, who keeps users waiting takes more,
  * and each refusal halves what was taken. What the duties write can be gathered, so that they wait is no reason.
  */
-export class Stretch {
+export class AdaptiveShare {
   private at: number;
   private value = 1;
 
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -4,8 +4,8 @@
 import { type Answer, HttpPeer } from '../base/http.js';
 import { Pacer } from '../base/pacer.js';
 import type { Settings } from '../settings/settings.js';
-import { Horizon } from './horizon.js';
-import { Stretch } from './stretch.js';
+import { FreshnessBound } from './freshness.js';
+import { AdaptiveShare } from './adaptive-share.js';
 import {
   type Change,
   type Condition,
@@ -75,11 +75,11 @@
   private readonly writeBurst: number;
   private readonly intakeWrites: Pacer;
   private role = { leading: false, alive: 1, machines: 0 };
-  private readonly stretch: Stretch;
+  private readonly adaptiveShare: AdaptiveShare;
   private counts: { changes: Record<string, number>; refused: number } = { changes: {}, refused: 0 };
   private openWatch: AbortController | undefined;
   /** What we know of the store's changes; whether it serves us is another matter, see `lastContact`. */
-  private readonly horizon = new Horizon();
+  private readonly freshness = new FreshnessBound();
   private contactAt: number;
   private refusedAt = -Infinity;
 
@@ -95,7 +95,7 @@
       confirm: new Pacer(1, 1, clock),
       duty: new Pacer(1, 1, clock),
     };
-    this.stretch = new Stretch(clock());
+    this.adaptiveShare = new AdaptiveShare(clock());
     this.writeBurst = Math.max(4, settings.state.writeRps * burstShare);
     // All controllers may start at once: none begins with more than the duties can use.
     this.writes = new Pacer(1, this.writeBurst * keptForIntake, clock);
@@ -123,7 +123,7 @@
     this.requests.duty.setRate(state.rps * (requests.duty * weight + leader), burst);
     const share =
       writes.even / sharing + writes.byMachines * role.machines + (role.leading ? writes.leader : 0);
-    const rate = state.writeRps * Math.min(1, share * this.stretch.factor);
+    const rate = state.writeRps * Math.min(1, share * this.adaptiveShare.factor);
     this.writes.setRate(rate, this.writeBurst);
     this.intakeWrites.setRate(rate * writes.mostForIntake, this.writeBurst);
   }
@@ -137,12 +137,12 @@
 
   /** Every change committed before this moment of our clock is in a copy that has reached `revision`. */
   knownUntil(revision: number): number {
-    return this.horizon.until(revision);
+    return this.freshness.until(revision);
   }
 
   /** When the last request was sent whose answer named a revision of the store. */
   get lastSighting(): number {
-    return this.horizon.lastSighting;
+    return this.freshness.lastSighting;
   }
 
   /** When the last request that was served had been sent: it says that the store serves us, not what we know of it. */
@@ -242,7 +242,8 @@
       const root = writtenKey(write).split('/', 1)[0] ?? '';
       this.counts.changes[root] = (this.counts.changes[root] ?? 0) + 1;
     }
-    if (writes.length > 0 && this.stretch.note({ refused, waited }, this.clock())) this.setRole(this.role);
+    if (writes.length > 0 && this.adaptiveShare.note({ refused, waited }, this.clock()))
+      this.setRole(this.role);
     if (answer.status === 200) return { kind: 'applied', revision: parseCommit(answer.body).revision };
     if (answer.status === 409) return { kind: 'conflict', ...parseCommit(answer.body) };
     if (answer.status === 400) return { kind: 'malformed' };
@@ -276,7 +277,7 @@
   /** Only what was carried out, or turned down for its conditions, says which revision it found. */
   private sight(sentAt: number, { status, body }: Answer): void {
     const revision = status === 200 || status === 404 || status === 409 ? revisionOf(body) : undefined;
-    if (revision !== undefined) this.horizon.note(sentAt, revision);
+    if (revision !== undefined) this.freshness.note(sentAt, revision);
   }
 
   private async call(method: string, path: string, body: unknown, lane: Lane = 'duty'): Promise<Answer> {
--- a/src/store/horizon.ts
+++ b/src/store/freshness.ts
@@ -1,3 +1,4 @@
+/** Freshness bound of the replica of the state service. */
 /** Answers whose changes the copy lacks are remembered up to so many; leaving one out only makes us more careful. */
 const mostPending = 64;
 
@@ -11,7 +12,7 @@
  * its request was *sent* is at or below that revision; once the copy has reached it, all of that is known here. Other
  * answers, refusals and open watches move nothing, however recently they came.
  */
-export class Horizon {
+export class FreshnessBound {
   private pending: Sighting[] = [];
   private knownAt = -Infinity;
   private newest = -Infinity;
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -9,7 +9,7 @@
 import { type CommitOutcome, StoreClient } from './client.js';
 import { CommitStage, takeBatch } from './commit-stage.js';
 import { Mirror } from './mirror.js';
-import { Stretch } from './stretch.js';
+import { AdaptiveShare } from './adaptive-share.js';
 
 const never = new AbortController().signal;
 
@@ -141,10 +141,10 @@
 
 // Guards against submissions that wait behind a fixed share while the others leave theirs unused.
 test('a share grows while its controller has to wait and nothing is refused, and halves with a refusal', () => {
-  const stretch = new Stretch(0);
+  const adaptiveShare = new AdaptiveShare(0);
   const after = (outcome: { refused: boolean; waited: boolean }, times: number, from: number): number => {
-    for (let i = 1; i <= times; i++) stretch.note(outcome, from + i * 1000);
-    return stretch.factor;
+    for (let i = 1; i <= times; i++) adaptiveShare.note(outcome, from + i * 1000);
+    return adaptiveShare.factor;
   };
   assert.equal(after({ refused: false, waited: false }, 5, 0), 1);
   assert.equal(after({ refused: false, waited: true }, 2, 5000), 2);
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -6,7 +6,7 @@
 import type { Task } from '../placement/job-state.js';
 import type { Scheduler } from '../placement/scheduler.js';
 import { parseReport, redirectAnswer, reportAnswer } from '../wire/workers.js';
-import { Holds } from './holds.js';
+import { LongPolls } from './long-polls.js';
 import type { MachineState } from './machine-state.js';
 
 /** One report on its way to its answer. */
@@ -50,10 +50,10 @@
 
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
 export class WorkerDesk {
-  private readonly holds: Holds;
+  private readonly longPolls: LongPolls;
 
   constructor(private readonly ports: DeskPorts) {
-    this.holds = new Holds(ports.clock, (ports.reportMs * holdShares.busy) / looksPerHold);
+    this.longPolls = new LongPolls(ports.clock, (ports.reportMs * holdShares.busy) / looksPerHold);
   }
 
   readonly route: LeanRoute = {
@@ -101,7 +101,7 @@
     const quiet = orders.every((order) => order.kind === 'forget') && this.news(visit).length === 0;
     if (!quiet || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(visit);
     const share = machine.tasks.size === 0 ? holdShares.empty : holdShares.busy;
-    this.holds.add(machine, reportMs * share, () => this.finish(visit));
+    this.longPolls.add(machine, reportMs * share, () => this.finish(visit));
   }
 
   private finish(visit: Visit): void {
--- a/src/workers/silence.ts
+++ b/src/workers/failure-detection.ts
@@ -1,3 +1,4 @@
+/** Failure detection by missed reports, and when it must not be trusted. */
 import type { Settings } from '../settings/settings.js';
 import type { MachineState } from './machine-state.js';
 
--- a/src/workers/custody.ts
+++ b/src/workers/health-monitor.ts
@@ -1,17 +1,18 @@
+/** Release of machines that are dead, deaf, slow or faulty. */
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
 import { Saturation } from '../base/saturation.js';
-import { Standstill } from '../base/standstill.js';
+import { ProcessPause } from '../base/process-pause.js';
 import type { Log } from '../base/log.js';
 import { type CloudClient, releaseLimit } from '../cloud/client.js';
 import type { MachineType } from '../model/types.js';
 import type { Board } from '../placement/board.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import { excusedMs, nobodyIsHeard, silentMachines } from './silence.js';
+import { excusedMs, nobodyIsHeard, silentMachines } from './failure-detection.js';
 import { stragglers } from './slowness.js';
 
-export interface CustodyPorts {
+export interface HealthMonitorPorts {
   clock: Clock;
   log: Log;
   settings: Settings;
@@ -37,20 +38,20 @@
  * The owner's care for the machines of its block: it lets go of those that are silent, never came up, or fail the
  * tasks of different jobs. The cloud's answer to the release is what proves that their tasks are gone.
  */
-export class Custody {
-  constructor(private readonly ports: CustodyPorts) {}
+export class HealthMonitor {
+  constructor(private readonly ports: HealthMonitorPorts) {}
 
   async run(): Promise<void> {
     const { board, cloud, signal, log, onFreed, settings, clock, inTouch, onUnheard } = this.ports;
     const pauseMs = settings.reportMs / looksPerReport;
-    const standstill = new Standstill(clock, pauseMs);
+    const processPause = new ProcessPause(clock, pauseMs);
     const saturation = new Saturation();
     let lookedAt = clock();
     let inTouchSince = clock();
     while (!signal.aborted) {
       const passedMs = clock() - lookedAt;
       lookedAt += passedMs;
-      const excuseMs = excusedMs({ passedMs, heldUpMs: standstill.look(), saturated: saturation.look() });
+      const excuseMs = excusedMs({ passedMs, heldUpMs: processPause.look(), saturated: saturation.look() });
       if (excuseMs > 0) for (const machine of board.machines.values()) machine.excuse(excuseMs);
       // Without the store the block may be another's by now, and nothing that a release frees could start again.
       if (!inTouch()) {
@@ -79,7 +80,7 @@
         onFreed();
       }
       // A release takes its time without anybody being held up.
-      if (due.length > 0) standstill.look();
+      if (due.length > 0) processPause.look();
       await sleep(pauseMs, signal);
     }
   }
--- a/src/workers/holds.ts
+++ b/src/workers/long-polls.ts
@@ -1,3 +1,4 @@
+/** Responses to reports that are held back until there is something to say. */
 import { timer } from '../base/clock.js';
 import type { Clock } from '../base/clock.js';
 import type { MachineState } from './machine-state.js';
@@ -12,7 +13,7 @@
  * Answers that wait for something to say. One timer serves all of them, so that those that are due go out together: a
  * timer for each would wake the process as often again as the reports do.
  */
-export class Holds {
+export class LongPolls {
   private readonly held = new Set<Held>();
   private ticking = false;
 
@@ -21,10 +22,6 @@
     private readonly tickMs: number,
   ) {}
 
-  get size(): number {
-    return this.held.size;
-  }
-
   /** Calls back when the time is up or somebody wakes the machine, whichever is first. */
   add(machine: MachineState, ms: number, then: () => void): void {
     // A worker has one report under way at a time, so an answer that is still held is one that nobody waits for.
--- a/src/workers/workers.test.ts
+++ b/src/workers/workers.test.ts
@@ -2,11 +2,11 @@
 import { readdirSync } from 'node:fs';
 import { describe, test } from 'node:test';
 import { Saturation, type UtilizationProbe } from '../base/saturation.js';
-import { Standstill } from '../base/standstill.js';
+import { ProcessPause } from '../base/process-pause.js';
 import { runTrace } from '../testing/traces.js';
 import type { Task } from '../placement/job-state.js';
 import { MachineState } from './machine-state.js';
-import { excusedMs, nobodyIsHeard, silentMachines } from './silence.js';
+import { excusedMs, nobodyIsHeard, silentMachines } from './failure-detection.js';
 
 describe('traces of reports and what comes of them', () => {
   const folder = 'src/workers/traces';
@@ -54,7 +54,7 @@
 // Guards against a controller that stood still for longer than a lease and called all its machines silent and deaf when it woke.
 test('who was held up itself judges nobody by that time', () => {
   let now = 0;
-  const standstill = new Standstill(() => now, 1000);
+  const processPause = new ProcessPause(() => now, 1000);
   const times = { reportMs: 1000, leaseMs: 6000, cancelMs: 16_000 };
   const state = new MachineState('m1', 0);
   state.place = { id: 'm1', type: 'c8', zone: 'a', spot: false };
@@ -63,7 +63,7 @@
   state.tasks.set('req-1/0', task);
   const look = (at: number): [silent: number, deafSince: number | undefined] => {
     now = at;
-    state.excuse(standstill.look());
+    state.excuse(processPause.look());
     return [silentMachines([state], now, times, 3).length, state.deafSince()];
   };
   assert.deepEqual(look(1000), [0, 0]);
