Reports are served in slices of a turn: health checks and answers of the store come in between

Reports now wait in a queue of which each turn serves a slice; whose sender has gone meanwhile is dropped unread.

--- a/src/base/direct-connections.test.ts
+++ b/src/base/direct-connections.test.ts
@@ -2,6 +2,7 @@
 import { type Socket, connect } from 'node:net';
 import { test } from 'node:test';
 import { encode } from '../wire/codec.js';
+import { steadyClock } from './clock.js';
 import { silentLog } from './log.js';
 import { type LeanRoute, type RequestHandler, send, serveWeb } from './web.js';
 
@@ -48,6 +49,7 @@
   const hello: LeanRoute = {
     method: 'POST',
     path: '/hello',
+    queued: true,
     handle: (body, answer) => {
       bodies.push(body);
       if (body === 'fail') throw new Error('as the test likes');
@@ -62,7 +64,10 @@
   const users: RequestHandler = (_request, response) => send(response, { status: 404 });
   const loadHandler = (): Promise<RequestHandler> => Promise.resolve(users);
   const listen = { lean: [hello, health], loadHandler, log: silentLog, host: '127.0.0.1', port };
-  const served = serveWeb({ ...listen, maxConnections: 20, idleMs: 5000 }, stop.signal);
+  const served = serveWeb(
+    { ...listen, clock: steadyClock, maxConnections: 20, idleMs: 5000, sliceMs: 50 },
+    stop.signal,
+  );
   await new Promise((resolve) => setTimeout(resolve, 100));
 
   const report = request('/hello', encode({ host: 'vm-1' }));
--- a/src/base/direct-connections.ts
+++ b/src/base/direct-connections.ts
@@ -5,7 +5,9 @@
 import { STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
 import { encode } from '../wire/codec.js';
+import type { Clock } from './clock.js';
 import type { Log } from './log.js';
+import { TurnQueue } from './turn-queue.js';
 import { type LeanRoute, type Reply, handleLean, replyHeaders } from './web.js';
 
 const endOfHead = '\r\n\r\n';
@@ -42,6 +44,9 @@
 export interface DirectOptions {
   routes: LeanRoute[];
   log: Log;
+  clock: Clock;
+  /** How long one turn of the event loop may serve queued requests. */
+  sliceMs: number;
   /** A connection that says nothing for so long is closed. */
   idleMs: number;
   /** The ordinary server's way of taking a connection. */
@@ -52,8 +57,10 @@
 export class DirectConnections {
   private readonly sockets = new Set<Socket>();
   private readonly routes: ReadonlyMap<string, LeanRoute>;
+  private readonly queue: TurnQueue;
 
   constructor(private readonly options: DirectOptions) {
+    this.queue = new TurnQueue(options.clock, options.sliceMs);
     this.routes = new Map(options.routes.map((route) => [`${route.method} ${route.path} HTTP/1.1`, route]));
   }
 
@@ -74,7 +81,9 @@
         socket.write(responseText(reply), 'latin1');
         if (reply.close === true) socket.end();
       };
-      handleLean(route, request.body, answer, this.options.log);
+      const run = (): void => handleLean(route, request.body, answer, this.options.log);
+      if (route.queued === true) this.queue.add({ isWanted: () => !socket.destroyed, run });
+      else run();
     };
     const onEnd = (): void => void socket.end();
     const onTimeout = (): void => void socket.destroy();
--- a/src/base/web.ts
+++ b/src/base/web.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { decode, encode } from '../wire/codec.js';
 import { DirectConnections } from './direct-connections.js';
+import type { Clock } from './clock.js';
 import type { Log } from './log.js';
 
 export interface Reply {
@@ -27,6 +28,8 @@
 export interface LeanRoute {
   method: 'GET' | 'POST';
   path: string;
+  /** It comes in numbers, and may wait for a turn of the event loop while there are too many at a time. */
+  queued?: boolean;
   handle: (body: unknown, answer: (reply: Reply) => void) => void;
 }
 
@@ -103,8 +106,11 @@
   log: Log;
   host: string;
   port: number;
+  clock: Clock;
   maxConnections: number;
   idleMs: number;
+  /** How long one turn of the event loop may serve queued requests. */
+  sliceMs: number;
 }
 
 /** Serves until the signal fires; open connections are then closed. */
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -48,6 +48,8 @@
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
 const stageTransactions = { duty: 4, writes: 4, confirms: 8 };
 const socketShare = 0.8;
+/** One turn of the event loop serves reports for this part of a report interval, before it looks at other sockets. */
+const sliceReports = 1 / 80;
 /** A connection that has been idle for so many leases is closed: users and workers alike speak several times in one. */
 const idleLeases = 2;
 /**
@@ -208,9 +210,10 @@
     };
     const listen = {
       ...splitAddress(settings.serveOn),
-      ...{ lean, loadHandler, log },
+      ...{ lean, loadHandler, log, clock },
       maxConnections: Math.floor(settings.quota.sockets * socketShare),
       idleMs: settings.leaseMs * idleLeases,
+      sliceMs: settings.reportMs * sliceReports,
     };
     log.info({ event: 'start', boot: this.boot, zone: settings.zone }, 'starting');
     await Promise.all([
--- a/src/workers/desk.ts
+++ b/src/workers/desk.ts
@@ -59,6 +59,7 @@
   readonly route: LeanRoute = {
     method: 'POST',
     path: '/hello',
+    queued: true,
     handle: (body, answer) => this.receive(body, answer),
   };
 
