A repeated submission no longer shares the status that an earlier one was told

Cause of `went_back`: a repetition that arrived while an earlier submission of the same job was under way at the same controller got that one's whole answer, evidence included. That evidence was older than the repetition: meanwhile users had been told, here or elsewhere, that the job is cancelled, and the repetition said pending or running.

One module, JobStatusReader, now finds out what a user is told, for questions, repetitions, refusals and cancels alike: by a comparison sent after the request had arrived, and by what was learned until the answer came. A repetition still makes no second commit: it waits for the first try and learns from it that the job was accepted, no more. Intake is split by duty.

--- /dev/null
+++ b/src/intake/job-canceller.ts
@@ -0,0 +1,77 @@
+/** Cancels jobs for their users. */
+import type { StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Entry, Mirror } from '../store/mirror.js';
+import { endKey, endRecord, jobKey, parseJobRecord } from '../wire/records.js';
+import type { JobStatusReader, JobStatusResult } from './job-status.js';
+
+export interface CancelPorts {
+  store: Pick<StoreClient, 'failing' | 'read'>;
+  mirror: Mirror;
+  /** Submissions and cancels. */
+  writes: CommitStage;
+}
+
+/** An open job is not a result of a cancel: its user has to try again. */
+export type CancelResult = Exclude<JobStatusResult, { kind: 'open' }>;
+
+/** `gone`: the job's record is not there, or its end has been decided. `changed`: the record has a newer version. */
+type Attempt = 'cancelled' | 'gone' | 'changed' | 'unavailable';
+
+const mostAttempts = 3;
+
+export class JobCanceller {
+  constructor(
+    private readonly ports: CancelPorts,
+    private readonly statuses: JobStatusReader,
+  ) {}
+
+  async cancel(id: string): Promise<CancelResult> {
+    const ended = this.statuses.knownEnd(id);
+    if (ended) return ended;
+    if (this.ports.store.failing) return { kind: 'unavailable' };
+    const attempt = await this.attemptRepeatedly(id);
+    if (attempt === 'unavailable') return this.statuses.knownEnd(id) ?? { kind: 'unavailable' };
+    const result = await this.statuses.read(id);
+    return result.kind === 'open' ? { kind: 'unavailable' } : result;
+  }
+
+  /**
+   * Cancels keep their room: they are taken even where submissions no longer are. The leader may give the job's record a
+   * new version meanwhile, so that is read and tried again before the user has to.
+   */
+  private async attemptRepeatedly(id: string): Promise<Attempt> {
+    const { mirror, store } = this.ports;
+    let record: Entry | undefined = mirror.get(jobKey(id));
+    for (let attempts = 0; attempts < mostAttempts; attempts++) {
+      try {
+        record ??= await store.read(jobKey(id), 'intake');
+      } catch {
+        return 'unavailable';
+      }
+      if (!record) return 'gone';
+      const attempt = await this.attempt(id, record);
+      if (attempt !== 'changed') return attempt;
+      record = undefined;
+    }
+    return 'changed';
+  }
+
+  private async attempt(id: string, record: Entry): Promise<Attempt> {
+    const { mirror, writes } = this.ports;
+    const value = endRecord('cancelled', parseJobRecord(record.value)?.spec.tasks ?? 0);
+    const outcome = await writes.commit(
+      [
+        { key: endKey(id), version: 0 },
+        { key: jobKey(id), version: record.version },
+      ],
+      [{ put: endKey(id), value }, { drop: jobKey(id) }],
+    );
+    if (outcome.kind === 'applied') {
+      mirror.learnEnd(endKey(id), { value, version: outcome.revision });
+      return 'cancelled';
+    }
+    if (outcome.kind !== 'conflict') return 'unavailable';
+    return outcome.failed.includes(endKey(id)) ? 'gone' : 'changed';
+  }
+}
--- /dev/null
+++ b/src/intake/submissions.ts
@@ -0,0 +1,107 @@
+/** Records new jobs in the state service. */
+import type { Clock } from '../base/clock.js';
+import type { JobSpec, MachineType } from '../model/types.js';
+import type { Settings } from '../settings/settings.js';
+import type { StoreClient } from '../store/client.js';
+import type { CommitStage } from '../store/commit-stage.js';
+import type { Mirror } from '../store/mirror.js';
+import { type Part, endKey, jobKey, jobRecord } from '../wire/records.js';
+import { whyImpossible } from './admission.js';
+import type { JobStatusReader } from './job-status.js';
+
+export interface SubmissionPorts {
+  clock: Clock;
+  settings: Settings;
+  store: Pick<StoreClient, 'failing' | 'writeWaitMs'>;
+  mirror: Mirror;
+  /** Submissions and cancels. */
+  writes: CommitStage;
+  types: () => ReadonlyMap<string, MachineType>;
+  /** The block that a new job belongs to; empty where the leader has to place it. */
+  home: (spec: JobSpec) => Part[];
+}
+
+export type SubmissionResult =
+  /** This submission has recorded the job. */
+  | { kind: 'created' }
+  /** The job had been accepted before; what has become of it is for a read to find out. */
+  | { kind: 'accepted-before' }
+  | { kind: 'impossible'; reason: string }
+  | { kind: 'overloaded'; retryAfterS: number }
+  | { kind: 'unavailable' };
+
+/** Open jobs that a controller keeps track of, per MB of its memory. */
+const openJobsPerMb = 20;
+const retryOverloadS = 3;
+/** A user waits 5 s for an answer and heeds a pause of up to 30 s. */
+const longestWaitMs = 2000;
+const retryLatestS = 20;
+
+export class Submissions {
+  /** Commits of new jobs that have no answer yet, by job. */
+  private readonly underWay = new Map<string, Promise<SubmissionResult>>();
+
+  constructor(
+    private readonly ports: SubmissionPorts,
+    private readonly statuses: JobStatusReader,
+  ) {}
+
+  /**
+   * A repetition that comes while the first try is under way waits for its result instead of committing the same job in
+   * vain. It learns from it that the job was accepted, and nothing of its status: the first try's evidence is older than
+   * the repetition.
+   */
+  async submit(job: JobSpec): Promise<SubmissionResult> {
+    const { store, mirror, types, settings } = this.ports;
+    if (this.isKnown(job.id)) return { kind: 'accepted-before' };
+    if (types().size === 0 || !mirror.ready) return { kind: 'unavailable' };
+    const reason = whyImpossible(job, types().values(), settings.teams);
+    if (reason !== undefined) return { kind: 'impossible', reason };
+    const firstTry = this.underWay.get(job.id);
+    if (firstTry) return asRepetition(await firstTry);
+    if (store.failing) return { kind: 'unavailable' };
+    const retryAfterS = this.overloadedForS();
+    if (retryAfterS !== undefined) return { kind: 'overloaded', retryAfterS };
+    const result = this.record(job);
+    this.underWay.set(job.id, result);
+    try {
+      return await result;
+    } finally {
+      this.underWay.delete(job.id);
+    }
+  }
+
+  private isKnown(id: string): boolean {
+    return this.statuses.isRecorded(id) || this.statuses.knownEnd(id) !== undefined;
+  }
+
+  /** What would wait for longer than a user does is turned away at once, and told when its turn may come. */
+  private overloadedForS(): number | undefined {
+    const { mirror, settings, store, writes } = this.ports;
+    const waitMs = store.writeWaitMs('intake', writes.writableLength);
+    const tooManyJobs = mirror.size > settings.quota.memoryMb * openJobsPerMb;
+    if (waitMs <= longestWaitMs && !writes.full && !tooManyJobs) return undefined;
+    return Math.min(retryLatestS, Math.max(retryOverloadS, waitMs / 1000));
+  }
+
+  private async record(job: JobSpec): Promise<SubmissionResult> {
+    const { mirror, writes, home } = this.ports;
+    const key = jobKey(job.id);
+    const value = jobRecord({ spec: job, parts: home(job) });
+    const outcome = await writes.commit(
+      [
+        { key, version: 0 },
+        { key: endKey(job.id), version: 0 },
+      ],
+      [{ put: key, value }],
+    );
+    if (outcome.kind === 'conflict') return { kind: 'accepted-before' };
+    if (outcome.kind !== 'applied') return { kind: 'unavailable' };
+    mirror.learn(key, { value, version: outcome.revision });
+    return { kind: 'created' };
+  }
+}
+
+function asRepetition(firstTry: SubmissionResult): SubmissionResult {
+  return firstTry.kind === 'created' ? { kind: 'accepted-before' } : firstTry;
+}
--- /dev/null
+++ b/src/testing/held-store.ts
@@ -0,0 +1,72 @@
+/** An in-memory state service whose answers the test holds back and releases one by one. */
+import type { CommitOutcome } from '../store/client.js';
+import { type Condition, type Item, type Write, writtenKey } from '../wire/state.js';
+
+interface StoredValue {
+  value: unknown;
+  version: number;
+}
+
+/**
+ * Executes every request the moment it is sent. Where `holdsAnswers` is set, its answer stays on the way until `release`
+ * is called, which is how an answer that was true when it was given becomes old.
+ */
+export class HeldStore {
+  holdsAnswers = false;
+  /** Transactions executed so far: with writes, and those that only compare. */
+  readonly executed = { writing: 0, comparing: 0 };
+  private readonly keys = new Map<string, StoredValue>();
+  private readonly heldAnswers: (() => void)[] = [];
+  private revision = 0;
+
+  /** Answers that are on their way. */
+  get held(): number {
+    return this.heldAnswers.length;
+  }
+
+  commit(_lane: string, conditions: Condition[], writes: Write[]): Promise<CommitOutcome> {
+    return this.answer(this.execute(conditions, writes));
+  }
+
+  read(key: string): Promise<Item | undefined> {
+    const stored = this.keys.get(key);
+    return this.answer(stored && { key, ...stored });
+  }
+
+  /** Delivers the oldest answer that is held, and lets its receiver go on as far as it can. */
+  async release(): Promise<void> {
+    this.heldAnswers.shift()?.();
+    await settled();
+  }
+
+  private answer<T>(value: T): Promise<T> {
+    if (!this.holdsAnswers) return Promise.resolve(value);
+    return new Promise((resolve) => this.heldAnswers.push(() => resolve(value)));
+  }
+
+  private execute(conditions: Condition[], writes: Write[]): CommitOutcome {
+    this.executed[writes.length > 0 ? 'writing' : 'comparing']++;
+    const failed = conditions.filter(({ key, version }) => this.version(key) !== version);
+    if (failed.length > 0) {
+      return { kind: 'conflict', failed: failed.map(({ key }) => key), revision: this.revision };
+    }
+    if (writes.length > 0) this.revision++;
+    for (const write of writes) this.apply(write);
+    return { kind: 'applied', revision: this.revision };
+  }
+
+  private apply(write: Write): void {
+    if ('drop' in write) this.keys.delete(writtenKey(write));
+    else this.keys.set(write.put, { value: write.value, version: this.revision });
+  }
+
+  private version(key: string): number {
+    return this.keys.get(key)?.version ?? 0;
+  }
+}
+
+/** Everything that can go on without a new answer has gone on. */
+export async function settled(): Promise<void> {
+  const turns = 5;
+  for (let turn = 0; turn < turns; turn++) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/src/testing/user-side.ts
@@ -0,0 +1,71 @@
+/** The users' side of one controller, for tests without sockets. */
+import type { Reply, Route } from '../base/web.js';
+import { Intake, type IntakePorts } from '../intake/intake.js';
+import type { Lane, StoreClient } from '../store/client.js';
+import { CommitStage } from '../store/commit-stage.js';
+import { Mirror } from '../store/mirror.js';
+import { parseMachineTypes } from '../wire/cloud.js';
+import { machineType } from './cloud-standin.js';
+import { submission } from './cluster.js';
+import { type HeldStore, settled } from './held-store.js';
+import { testSettings } from './settings.js';
+
+const stageBound = 100;
+
+export interface UserSideOptions {
+  /** How long a commit would wait for its turn, by the controller's share of the store's limits. */
+  writeWaitMs?: number;
+}
+
+/** Requests about one job to one controller, whose copy of the store learns nothing but what it commits itself. */
+export class UserSide {
+  private readonly routes: Route[];
+
+  private constructor(
+    ports: IntakePorts,
+    private readonly id: string,
+  ) {
+    this.routes = new Intake(ports).routes;
+  }
+
+  static async create(store: HeldStore, id: string, options: UserSideOptions = {}): Promise<UserSide> {
+    const settings = testSettings();
+    const { signal } = new AbortController();
+    const stage = (lane: Lane): CommitStage => new CommitStage(store, lane, settings, signal, stageBound);
+    const mirror = new Mirror(
+      { list: () => Promise.resolve({ items: [], revision: 0 }), watch: () => new Promise(() => undefined) },
+      0,
+    );
+    void mirror.follow(signal);
+    await settled();
+    const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((type) => [type.name, type]));
+    const client = {
+      failing: false,
+      writeWaitMs: () => options.writeWaitMs ?? 0,
+      read: (key: string) => store.read(key),
+    } as unknown as StoreClient;
+    const ports = {
+      ...{ clock: () => 0, wallClock: () => 0, settings, mirror, types: () => types, store: client },
+      ...{ writes: stage('intake'), confirms: stage('confirm'), home: () => [], isUp: () => true },
+      census: { progress: () => ({ done: 0, active: 0 }) },
+    } as unknown as IntakePorts;
+    return new UserSide(ports, id);
+  }
+
+  /** A submission of the job; `change` makes it differ from the others. */
+  async submit(change: Record<string, unknown> = {}): Promise<Reply> {
+    return this.request(0, submission(this.id, 1, change));
+  }
+
+  async query(): Promise<Reply> {
+    return this.request(1, undefined);
+  }
+
+  async cancel(): Promise<Reply> {
+    return this.request(2, {});
+  }
+
+  private async request(route: number, body: unknown): Promise<Reply> {
+    return (this.routes[route] as Route).handle(body, [this.id]);
+  }
+}
