Tests: users look closely at three controllers; an answer is judged by when its request was sent

The checker dates an answer's request now. An answer is older where its request was sent after the other answer had come; requests under way together are not held against each other, since the network may overtake either. Two ends of one job stay a violation in whatever order they are told, and so does a cancel that nobody asked for.

--- /dev/null
+++ b/src/meetings/close-looks.test.ts
@@ -0,0 +1,118 @@
+/** Users who ask at all controllers, again and again, right after a job was accepted, has ended or was cancelled. */
+import assert from 'node:assert/strict';
+import { type Cluster, labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
+import { scenario } from '../testing/scenario.js';
+import { seeded } from '../testing/seeded.js';
+
+const long = 20_000;
+const holdsAnswersAbout =
+  (controller: string, id: string) =>
+  (client: string, keys: string[]): boolean =>
+    client === controller && keys.includes(`sk/end/${id}`);
+
+const answerIsHeld = async (cluster: Cluster): Promise<void> =>
+  cluster.until('the store has carried it out', () => cluster.store.answersHeld > 0);
+
+// Guards against `went_back`: the later repetition shared the answer of the earlier one, which was true when that was sent.
+scenario(
+  'a submission is repeated after its cancellation was told, while an earlier repetition is under way',
+  { port: 25_000, taskMs: long },
+  async (cluster) => {
+    for (const [node, label] of labels.entries()) {
+      const id = `req-00000${node}`;
+      await cluster.submitSurely(submission(id, 1));
+      await cluster.until('all know it', async () => {
+        const told = await Promise.all([0, 1, 2].map((other) => cluster.ask(other, id)));
+        return told.every((what) => what === 'pending' || what === 'running');
+      });
+      cluster.store.holdsAnswers = holdsAnswersAbout(label, id);
+      const earlier = cluster.submit(node, submission(id, 1));
+      await answerIsHeld(cluster);
+      assert.equal(await cluster.cancelSurely(id, [(node + 1) % 3]), 'cancelled');
+      const later = cluster.submit(node, submission(id, 1));
+      await pause(reportMs / 10);
+      cluster.store.releaseAnswers();
+      assert.deepEqual(await Promise.all([earlier, later]), [200, 200]);
+    }
+  },
+);
+
+// Guards against the same with the first submission, whose commit was carried out and not answered yet.
+scenario(
+  'a job is accepted through one controller and cancelled, while another still waits for its commit of the job',
+  { port: 25_040, taskMs: long },
+  async (cluster) => {
+    for (const [node, label] of labels.entries()) {
+      const id = `req-00001${node}`;
+      cluster.store.holdsAnswers = holdsAnswersAbout(label, id);
+      const first = cluster.submit(node, submission(id, 1));
+      await answerIsHeld(cluster);
+      await cluster.submitSurely(submission(id, 1), (node + 1) % 3);
+      assert.equal(await cluster.cancelSurely(id, [(node + 2) % 3]), 'cancelled');
+      const later = cluster.submit(node, submission(id, 1));
+      await pause(reportMs / 10);
+      cluster.store.releaseAnswers();
+      await Promise.all([first, later]);
+    }
+  },
+);
+
+/** Questions and repeated submissions at all controllers, within a few milliseconds, three times over. */
+async function lookClosely(cluster: Cluster, id: string): Promise<unknown> {
+  const requests: Promise<unknown>[] = [];
+  const looks = 3;
+  for (let look = 0; look < looks; look++) {
+    for (const node of labels.keys()) {
+      requests.push(cluster.ask(node, id), cluster.submit(node, submission(id, 1)));
+    }
+    await pause(reportMs / 20);
+  }
+  return Promise.all(requests);
+}
+
+/** A job whose user looks closely as it is accepted, and as it is cancelled or done. */
+async function followClosely(cluster: Cluster, id: string, random: () => number): Promise<void> {
+  const looks: Promise<unknown>[] = [];
+  await cluster.submitSurely(submission(id, 1), Math.floor(random() * labels.length));
+  looks.push(lookClosely(cluster, id));
+  if (random() < 0.6) {
+    await pause(random() * reportMs);
+    await cluster.cancelSurely(id, [Math.floor(random() * labels.length), 0, 1, 2]);
+  } else {
+    await cluster.until(`${id} has ended`, async () => (await cluster.ask(0, id)) === 'done', 25_000);
+  }
+  looks.push(lookClosely(cluster, id));
+  await Promise.all(looks);
+}
+
+// Guards against older answers that no single order of events above has thought of.
+for (const [index, seed] of [1, 2, 3].entries()) {
+  scenario(
+    `users look closely while answers of the store are late or lost and controllers end and return, seed ${seed}`,
+    { port: 25_080 + index * 40, taskMs: 700, seed, capacity: 6 },
+    async (cluster) => {
+      const random = seeded(seed);
+      const ids = Array.from({ length: 24 }, (_, i) => `req-00002${i.toString().padStart(2, '0')}`);
+      cluster.store.lateAnswers = { share: 0.5, toMs: 600 };
+      const users = ids.map(async (id) => {
+        await pause(random() * 1.5 * leaseMs);
+        await followClosely(cluster, id, random);
+      });
+      await pause(leaseMs / 2);
+      cluster.store.losesAnswers = 5;
+      await cluster.restart(labels[seed % labels.length] ?? '', 100);
+      cluster.store.late = { share: 0.1, fromMs: reportMs, toMs: leaseMs };
+      await pause(leaseMs / 2);
+      cluster.store.late = undefined;
+      await cluster.restart(await cluster.leading(), 300);
+      await Promise.all(users);
+      cluster.store.lateAnswers = undefined;
+      for (const id of ids) {
+        await cluster.until(`${id} has ended for all`, async () => {
+          const told = await Promise.all([0, 1, 2].map((node) => cluster.ask(node, id)));
+          return told.every((what) => what === told[0]) && ['done', 'cancelled'].includes(told[0] ?? '');
+        });
+      }
+    },
+  );
+}
--- a/src/testing/checker.ts
+++ b/src/testing/checker.ts
@@ -1,4 +1,4 @@
-import type { Dated, JobFacts } from './history.js';
+import type { Dated, JobFacts, Told } from './history.js';
 
 export interface CheckFacts {
   /** CPUs that each team may use at most; none is no limit. */
@@ -88,23 +88,31 @@
     }
   }
 
-  private tell({ id, by, what }: Extract<Dated, { kind: 'told' }>): void {
+  /**
+   * "Once any node has told a user that a job is accepted, done or cancelled, no node may give that user an older answer":
+   * an answer is older where its request was sent after the other answer had come. Of two requests that were under way at
+   * the same time nobody can say whose answer is the older one, since the network may overtake either, so they are not
+   * held against each other.
+   */
+  private tell({ id, by, what, sentAt }: Extract<Dated, { kind: 'told' }>): void {
     const job = this.job(id);
+    const sentAfter = (told: number | undefined): boolean => told !== undefined && told < sentAt;
     if (by === 'question') this.noteQuestion(id, job, what);
     if (what === 'turned away') return;
     if (what === 'unknown') {
-      if (job.acceptedAt !== undefined && by !== 'submission') this.report('forgotten', id);
+      if (sentAfter(job.acceptedAt) && by !== 'submission') this.report('forgotten', id);
       return;
     }
     if (what === 'refused') {
-      if (job.acceptedAt !== undefined) this.report('forgotten', id);
+      if (sentAfter(job.acceptedAt)) this.report('forgotten', id);
       return;
     }
     if (!job.submitted) this.report('invented', id);
     if (by === 'submission' && !job.facts) this.report('accepted_bad', id);
     if (by === 'submission') job.acceptedAt ??= this.at;
-    if (job.doneAt !== undefined && what !== 'done') this.report('went_back', id);
-    if (job.cancelledAt !== undefined && what !== 'cancelled') this.report('went_back', id);
+    const backFromDone = sentAfter(job.doneAt) && what !== 'done';
+    const backFromCancelled = sentAfter(job.cancelledAt) && what !== 'cancelled';
+    if (backFromDone || backFromCancelled || hasTwoEnds(job, what)) this.report('went_back', id);
     if (what === 'cancelled') {
       if (!job.askedToCancel) this.report('went_back', id);
       job.cancelledAt ??= this.at;
@@ -223,3 +231,9 @@
     this.violations.push({ rule, subject, at: this.at });
   }
 }
+
+/** An end is decided once: no order of answers makes both of them true. */
+function hasTwoEnds(job: Job, what: Told): boolean {
+  if (what === 'done') return job.cancelledAt !== undefined;
+  return what === 'cancelled' && job.doneAt !== undefined;
+}
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -157,25 +157,28 @@
   async submit(node: number, job: Submission): Promise<number> {
     const { id } = job;
     this.history.add({ kind: 'submitted', id: String(id), job: factsOf(job) });
+    const sentAt = this.history.now();
     const { status, body } = await this.try(node, 'POST', '/v2/runs', job);
     const accepted = status === 200 || status === 201;
     const what = accepted ? toldIn(body) : status === 400 || status === 422 ? 'refused' : 'turned away';
-    this.history.add({ kind: 'told', id: String(id), by: 'submission', what });
+    this.history.add({ kind: 'told', id: String(id), by: 'submission', what, sentAt });
     return status;
   }
 
   async ask(node: number, id: string): Promise<Told> {
+    const sentAt = this.history.now();
     const { status, body } = await this.try(node, 'GET', `/v2/runs/${id}`);
     const what = status === 200 ? toldIn(body) : status === 404 ? 'unknown' : 'turned away';
-    this.history.add({ kind: 'told', id, by: 'question', what });
+    this.history.add({ kind: 'told', id, by: 'question', what, sentAt });
     return what;
   }
 
   async cancel(node: number, id: string): Promise<Told> {
     this.history.add({ kind: 'asked to cancel', id });
+    const sentAt = this.history.now();
     const { status, body } = await this.try(node, 'POST', `/v2/runs/${id}/cancel`, {});
     const what = status === 200 ? toldIn(body) : status === 404 ? 'unknown' : 'turned away';
-    this.history.add({ kind: 'told', id, by: 'cancel', what });
+    this.history.add({ kind: 'told', id, by: 'cancel', what, sentAt });
     return what;
   }
 
--- a/src/testing/history.ts
+++ b/src/testing/history.ts
@@ -6,8 +6,11 @@
   /** A submission as its user sent it; `job` is what it asks for, where it is valid. */
   | { kind: 'submitted'; id: string; job: JobFacts | undefined }
   | { kind: 'asked to cancel'; id: string }
-  /** `by`: submissions are accepted or refused, questions and cancels are answered. */
-  | { kind: 'told'; id: string; by: 'submission' | 'question' | 'cancel'; what: Told }
+  /**
+   * `by`: submissions are accepted or refused, questions and cancels are answered. `sentAt`: when the request was sent; the
+   * happening itself is dated by the answer.
+   */
+  | { kind: 'told'; id: string; by: 'submission' | 'question' | 'cancel'; what: Told; sentAt: number }
   /** It has its image: it is on the machine from now on. */
   | { kind: 'started'; task: string; machine: string }
   | { kind: 'left'; task: string; machine: string; completed: boolean }
@@ -26,10 +29,17 @@
 
 export type Dated = Happening & { at: number };
 
+/** Time of day in ms with fractions: requests follow each other within less than a millisecond. */
+const fineClock = (): number => performance.timeOrigin + performance.now();
+
 export class History {
   readonly happenings: Dated[] = [];
 
-  constructor(private readonly clock: () => number = Date.now) {}
+  constructor(private readonly clock: () => number = fineClock) {}
+
+  now(): number {
+    return this.clock();
+  }
 
   add(happening: Happening): void {
     this.happenings.push({ ...happening, at: this.clock() });
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -23,6 +23,11 @@
   readonly held = new Set<string>();
   /** How long every answer takes. */
   delayMs = 0;
+  /** Answers to such transactions are held back once these are carried out, until `releaseAnswers` is called. */
+  holdsAnswers: ((client: string, keys: string[]) => boolean) | undefined;
+  /** This share of the transactions is answered up to that much later than it is carried out. */
+  lateAnswers: { share: number; toMs: number } | undefined;
+  private readonly heldAnswers: (() => void)[] = [];
   /** Carries the next commits out and never answers: their fate is unknown to whoever sent them. */
   losesAnswers = 0;
   /** This share of the transactions that write gets no answer and is carried out that much later, after newer ones. */
@@ -107,12 +112,31 @@
       this.losesAnswers--;
       return void response.destroy();
     }
+    if (url.pathname === '/commit') await this.holdAnswer(client, body);
     if (this.delayMs > 0) await pause(this.delayMs / 2);
     // The cut began meanwhile: the answer goes nowhere.
     while (this.held.has(client)) await pause(20);
     reply(response, status, answer);
   }
 
+  /** Answers that are held back now. */
+  get answersHeld(): number {
+    return this.heldAnswers.length;
+  }
+
+  releaseAnswers(): void {
+    this.holdsAnswers = undefined;
+    for (const release of this.heldAnswers.splice(0)) release();
+  }
+
+  private async holdAnswer(client: string, body: Fields): Promise<void> {
+    if (this.holdsAnswers?.(client, keysIn(body))) {
+      await new Promise<void>((release) => this.heldAnswers.push(release));
+    }
+    const { lateAnswers } = this;
+    if (lateAnswers && this.random() < lateAnswers.share) await pause(this.random() * lateAnswers.toMs);
+  }
+
   /** Carries out what was kept, after all that was committed meanwhile; says how much that was. */
   deliver(): number {
     const kept = this.kept.splice(0);
@@ -244,6 +268,14 @@
   }
 }
 
+/** Every key that a transaction names, in a condition or a write. */
+function keysIn(body: Fields): string[] {
+  const conditions = list(body['when'])
+    .filter(isFields)
+    .map((condition) => text(condition['path']));
+  return [...conditions, ...writtenBy(body)];
+}
+
 function writtenBy(body: Fields): string[] {
   return list(body['writes'])
     .filter(isFields)
