Evidence does not age across an await: keys read anew, and records of blocks

- Mirror.load: what this controller commits after its keys were listed, and before all lists are read, was dropped from the copy and announced as deleted.
The board of its block then took an accepted job for ended, and it might never have run.
An entry newer than its list now stays; the watch says so if it was deleted.
It takes a gap in the watch (410), so it is rare.
The new test on the untouched code: heard [ '+job/b', '-job/b' ], expected [ '+job/b' ].
- Landlord.leaseBlocks: the blocks were read before an await and their versions after it.
A record that had changed in between (an owner's renewed leases) was written over by its predecessor, under the newer version's condition.
The new test on the untouched code: record of life-1 under the version of life-2.
Read and written in one turn now.
The version that a lease of unknown fate was conditioned on is noted from before the commit for the same reason.

Neither is known to have broken a rule; both are from reading.

--- /dev/null
+++ b/src/blocks/landlord.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { steadyClock } from '../base/clock.js';
+import { silentLog } from '../base/log.js';
+import { Term } from '../leadership/term.js';
+import { testSettings } from '../testing/settings.js';
+import { type BlockRecord, type LeasedMachine, blockKey, parseBlock } from '../wire/records.js';
+import type { Condition, Write } from '../wire/state.js';
+import { Landlord, type LandlordPorts } from './landlord.js';
+
+const labels = ['keel-0', 'keel-1', 'keel-2'];
+const fresh: LeasedMachine = {
+  ...{ id: 'm1', token: 0, type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 },
+};
+
+/** Blocks whose versions and records change together, between any two turns. */
+class ChangingRegistry {
+  private version_ = 1;
+  /** Called with every look at the blocks. */
+  onLook: () => void = () => undefined;
+
+  /** As when an owner renews its leases: a new life, and a new version. */
+  change(): void {
+    this.version_++;
+  }
+
+  version(): number {
+    return this.version_;
+  }
+
+  blocks(): Map<number, BlockRecord> {
+    const boot = `life-${this.version_}`;
+    this.onLook();
+    return new Map(labels.map((owner, block) => [block, { owner, boot, shares: {}, machines: [] }]));
+  }
+
+  alive(): { label: string; boot: string; zone: string }[] {
+    return labels.map((label) => ({ label, boot: `life-${this.version_}`, zone: 'a' }));
+  }
+
+  isAlive(): boolean {
+    return true;
+  }
+}
+
+interface Commit {
+  conditions: Condition[];
+  writes: Write[];
+}
+
+async function firstCommitOf(registry: ChangingRegistry): Promise<Commit> {
+  const term = new Term(1, 0);
+  const commits: Commit[] = [];
+  const empty = new Map();
+  const ports = {
+    ...{ clock: steadyClock, wallClock: Date.now, log: silentLog, term, registry, boot: 'b', periodMs: 1000 },
+    settings: { ...testSettings(), teams: new Map() },
+    census: { jobs: empty, loads: () => empty, inOrder: () => [], activeTasks: () => [] },
+    fleet: {
+      ...{ fresh: new Map([[fresh.id, fresh]]), gone: new Set(), unwanted: new Set(), lost: new Set() },
+      waiting: () => 0,
+    },
+    ...{
+      store: { failing: false },
+      mirror: { revision: 1 },
+      types: () => empty,
+      up: () => true,
+      lookahead: 0,
+    },
+    commits: {
+      writableLength: 0,
+      commit: (conditions: Condition[], writes: Write[]) => {
+        commits.push({ conditions, writes });
+        term.end('the test has seen enough');
+        return Promise.resolve({ kind: 'applied', revision: 2 });
+      },
+    },
+  } as unknown as LandlordPorts;
+  await new Landlord(ports).run();
+  assert.ok(commits[0]);
+  return commits[0];
+}
+
+// Guards against the record of an earlier version that is written over a newer one: an owner's renewed leases were undone.
+test('a block record is built on the very version that its commit is conditioned on', async () => {
+  const registry = new ChangingRegistry();
+  registry.onLook = () => {
+    registry.onLook = () => undefined;
+    queueMicrotask(() => registry.change());
+  };
+  const { conditions, writes } = await firstCommitOf(registry);
+  const [write] = writes;
+  assert.ok(write && 'put' in write);
+  const condition = conditions.find(({ key }) => key === write.put);
+  assert.equal(parseBlock(write.value, 0)?.boot, `life-${condition?.version}`);
+  assert.ok(labels.some((_, block) => blockKey(block) === write.put));
+});
--- a/src/blocks/landlord.ts
+++ b/src/blocks/landlord.ts
@@ -51,8 +51,9 @@
 
   private async leaseBlocks(): Promise<void> {
     const { settings, registry, census, fleet, clock } = this.ports;
+    if (await this.settleUncertain()) return;
+    // From here to the commits nothing is awaited: the records that they build on are those of the versions they name.
     const blocks = registry.blocks();
-    if (await this.settleUncertain(blocks)) return;
     const alive = this.alive();
     // What does not press is gathered: every new version of a block fails the intents that its owner has under way.
     const pressing = blocks.size < settings.controllers || this.ownersChange(blocks);
@@ -80,8 +81,9 @@
    * A lease whose fate is unknown may yet be carried out: what it gives to a block must not be given to another
    * meanwhile. So such blocks are first written as they stand, which leaves the late one without its version.
    */
-  private async settleUncertain(blocks: ReadonlyMap<number, BlockRecord>): Promise<boolean> {
+  private async settleUncertain(): Promise<boolean> {
     const { registry } = this.ports;
+    const blocks = registry.blocks();
     for (const [block, version] of this.uncertain) {
       if (registry.version(block) !== version) this.uncertain.delete(block);
     }
@@ -98,15 +100,16 @@
     record: BlockRecord,
   ): Promise<void> {
     const { settings, registry, commits, log, clock, term } = this.ports;
+    const version = registry.version(block);
     const outcome = await commits.commit(
-      [this.lead, { key: blockKey(block), version: registry.version(block) }],
+      [this.lead, { key: blockKey(block), version }],
       [{ put: blockKey(block), value: blockRecord(record) }],
     );
     if (outcome.kind === 'applied') {
       this.committed = Math.max(this.committed, outcome.revision);
       this.logOwner(block, before, record);
     } else if (outcome.kind === 'unknown') {
-      this.uncertain.set(block, registry.version(block));
+      this.uncertain.set(block, version);
       await sleep(settings.reportMs / 4, term.signal);
     } else if (outcome.kind === 'malformed') {
       log.error({ event: 'block-refused', block, machines: record.machines.length }, 'block record refused');
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -103,12 +103,14 @@
 
   private async load(): Promise<void> {
     const entries = new Map<string, Map<string, Entry>>();
-    let since = Infinity;
+    const listedAt = new Map<string, number>();
     for (const prefix of listedPrefixes) {
       const { items, revision } = await this.client.list(prefix);
-      since = Math.min(since, revision);
+      listedAt.set(prefix, revision);
       for (const { key, value, version } of items) put(entries, key, { value, version });
     }
+    for (const [prefix, revision] of listedAt) this.keepNewer(entries, prefix, revision);
+    const since = Math.min(...listedAt.values());
     const before = this.entries;
     this.entries = entries;
     this.at = since;
@@ -116,6 +118,17 @@
     this.notify(differences(flat(before), flat(entries)));
   }
 
+  /**
+   * What this controller committed after the keys were listed is missing from the list, and not deleted: it stays. Had it
+   * been deleted since, the watch, which goes on from the lists' revision, would say so.
+   */
+  private keepNewer(listed: Map<string, Map<string, Entry>>, prefix: string, revision: number): void {
+    for (const [key, entry] of this.below(prefix)) {
+      const listedVersion = listed.get(rootOf(key))?.get(key)?.version ?? 0;
+      if (entry.version > Math.max(revision, listedVersion)) put(listed, key, entry);
+    }
+  }
+
   private async *changes(signal: AbortSignal): AsyncGenerator<{ changes: Change[]; revision: number }> {
     while (!signal.aborted) {
       let next: Awaited<ReturnType<StoreClient['watch']>>;
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -139,6 +139,28 @@
   assert.deepEqual(heard, ['+job/b', '-job/a']);
 });
 
+// Guards against an accepted job that is taken for ended: the board of its block gave it up, and it never ran.
+test('what this controller commits while the keys are read anew is not taken for deleted', async () => {
+  const listed = { revision: 9, items: [{ key: 'job/a', value: 1, version: 3 }] };
+  let whileListing: () => void = () => undefined;
+  const client = {
+    list: (prefix: string) => {
+      // The jobs have been listed by the time that the ledger is.
+      if (prefix === 'run/') whileListing();
+      return Promise.resolve(prefix === 'job/' ? listed : { revision: 9, items: [] });
+    },
+    watch: () => Promise.resolve(undefined),
+  };
+  const mirror = new Mirror(client, 0);
+  await mirror.follow(new AbortController().signal);
+  const heard: string[] = [];
+  mirror.listen((changes) => heard.push(...changes.map((c) => `${c.deleted ? '-' : '+'}${c.key}`)));
+  whileListing = () => mirror.learn('job/b', { value: 2, version: 11 });
+  await mirror.follow(new AbortController().signal);
+  assert.deepEqual(heard, ['+job/b']);
+  assert.deepEqual([mirror.version('job/a'), mirror.version('job/b')], [3, 11]);
+});
+
 // Guards against submissions that wait behind a fixed share while the others leave theirs unused.
 test('a share grows while its controller has to wait and nothing is refused, and halves with a refusal', () => {
   const adaptiveShare = new AdaptiveShare(0);
