--- a/src/blocks/block-allocator.test.ts
+++ b/src/blocks/block-allocator.test.ts
@@ -6,7 +6,7 @@
 import { testSettings } from '../testing/settings.js';
 import { type BlockRecord, type LeasedMachine, blockKey, parseBlock } from '../wire/records.js';
 import type { Condition, Write } from '../wire/state.js';
-import { Landlord, type LandlordPorts } from './landlord.js';
+import { BlockAllocator, type BlockAllocatorPorts } from './block-allocator.js';
 
 const labels = ['keel-0', 'keel-1', 'keel-2'];
 const fresh: LeasedMachine = {
@@ -55,7 +55,7 @@
   const ports = {
     ...{ clock: steadyClock, wallClock: Date.now, log: silentLog, term, registry, boot: 'b', periodMs: 1000 },
     settings: { ...testSettings(), teams: new Map() },
-    census: { jobs: empty, loads: () => empty, inOrder: () => [], activeTasks: () => [] },
+    jobIndex: { jobs: empty, loads: () => empty, inOrder: () => [], activeTasks: () => [] },
     fleet: {
       ...{ fresh: new Map([[fresh.id, fresh]]), gone: new Set(), unwanted: new Set(), lost: new Set() },
       waiting: () => 0,
@@ -75,8 +75,8 @@
         return Promise.resolve({ kind: 'applied', revision: 2 });
       },
     },
-  } as unknown as LandlordPorts;
-  await new Landlord(ports).run();
+  } as unknown as BlockAllocatorPorts;
+  await new BlockAllocator(ports).run();
   assert.ok(commits[0]);
   return commits[0];
 }
--- a/src/blocks/block-allocator.ts
+++ b/src/blocks/block-allocator.ts
@@ -1,15 +1,15 @@
 import { sleep } from '../base/clock.js';
 import type { Fleet } from '../ladder/fleet.js';
-import { needOf } from '../placement/census.js';
+import { needOf } from '../placement/job-index.js';
 import type { Team } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
 import { type BlockRecord, type Shares, blockKey, blockRecord, leadKey } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
-import { Dealing, type DealingPorts } from './dealing.js';
+import { Dispatcher, type DispatcherPorts } from './dispatcher.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import { type TeamDemand, nextShares } from './shares.js';
 
-export interface LandlordPorts extends DealingPorts {
+export interface BlockAllocatorPorts extends DispatcherPorts {
   store: StoreClient;
   fleet: Fleet;
   periodMs: number;
@@ -18,8 +18,8 @@
 
 const tickMs = 200;
 
-/** The leader's leasing of machines and of shares of the teams' limits; the dealing of work follows it. */
-export class Landlord {
+/** The leader's leasing of machines and of shares of the teams' limits; the dispatching of work follows it. */
+export class BlockAllocator {
   /** The copy must have reached this revision before we build on it again. */
   private committed = 0;
   private sharesAt = -Infinity;
@@ -27,10 +27,10 @@
   /** Blocks with a lease of unknown fate, and the version that it was conditioned on. */
   private readonly uncertain = new Map<number, number>();
   private readonly aliveSince = new Map<string, number>();
-  private readonly dealing: Dealing;
+  private readonly dispatcher: Dispatcher;
 
-  constructor(private readonly ports: LandlordPorts) {
-    this.dealing = new Dealing(ports);
+  constructor(private readonly ports: BlockAllocatorPorts) {
+    this.dispatcher = new Dispatcher(ports);
   }
 
   async run(): Promise<void> {
@@ -41,7 +41,7 @@
         continue;
       await this.leaseBlocks();
       if (mirror.revision >= this.committed)
-        this.committed = Math.max(this.committed, await this.dealing.look());
+        this.committed = Math.max(this.committed, await this.dispatcher.look());
     }
   }
 
@@ -50,7 +50,7 @@
   }
 
   private async leaseBlocks(): Promise<void> {
-    const { settings, registry, census, fleet, clock } = this.ports;
+    const { settings, registry, jobIndex, fleet, clock } = this.ports;
     if (await this.settleUncertain()) return;
     // From here to the commits nothing is awaited: the records that they build on are those of the versions they name.
     const blocks = registry.blocks();
@@ -66,7 +66,7 @@
       settled: new Set(alive.map((m) => m.label).filter((label) => this.settled(label))),
       fresh: [...fleet.fresh.values()],
       gone: fleet.gone,
-      busy: census.loads(),
+      busy: jobIndex.loads(),
       unwanted: new Set([...fleet.unwanted, ...fleet.lost]),
       waiting: (block, machine) => fleet.waiting(block, machine),
       shares: this.shares(blocks),
@@ -173,7 +173,7 @@
   }
 
   private teamDemand(): (block: number, team: string) => TeamDemand {
-    const { census, order, wallClock } = this.ports;
+    const { jobIndex, order, wallClock } = this.ports;
     const entries = new Map<string, TeamDemand>();
     const of = (block: number, team: string): TeamDemand => {
       const key = `${block}/${team}`;
@@ -181,13 +181,13 @@
       if (!entry) entries.set(key, (entry = { used: [0, 0], waiting: [] }));
       return entry;
     };
-    for (const { page } of census.activeTasks()) {
+    for (const { page } of jobIndex.activeTasks()) {
       const { used } = of(page.block, page.team);
       used[0] += page.cpus;
       used[1] += page.accelerators;
     }
-    for (const job of census.inOrder(order, wallClock())) {
-      for (const { block, count } of census.waiting(job)) {
+    for (const job of jobIndex.inOrder(order, wallClock())) {
+      for (const { block, count } of jobIndex.waiting(job)) {
         if (block !== undefined && count > 0) {
           of(block, job.spec.team).waiting.push({ need: needOf(job.spec), count });
         }
--- a/src/blocks/block-capacity.ts
+++ b/src/blocks/block-capacity.ts
@@ -1,9 +1,9 @@
 import { type JobSpec, type MachineType, type Resources, fits } from '../model/types.js';
-import type { Census } from '../placement/census.js';
+import type { JobIndex } from '../placement/job-index.js';
 import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
 
 /** What a block can still take of a job. */
-export interface Room {
+export interface Capacity {
   block: number;
   /** Tasks that fit into what is free now, less what already waits there. */
   free: number;
@@ -11,14 +11,14 @@
   size: number;
 }
 
-export interface RoomFacts {
+export interface CapacityFacts {
   blocks: ReadonlyMap<number, BlockRecord>;
   alive: (label: string) => boolean;
   types: ReadonlyMap<string, MachineType>;
-  census: Census;
+  jobIndex: JobIndex;
   /** It has come up: tasks can start on it. */
   up: (machine: LeasedMachine) => boolean;
-  /** How much more than fits now a block may hold, as a share of its size, so that it need not wait to be dealt to. */
+  /** How much more than fits now a block may hold, as a share of its size, so that it need not wait to be dispatched to. */
   lookahead: number;
 }
 
@@ -26,36 +26,36 @@
 const mostAhead = 1;
 const none: Resources = { cpus: 0, accelerators: 0, memoryGb: 0 };
 
-/** The blocks' room for jobs at one moment; what is dealt in the meantime is taken off it. */
-export class Rooms {
+/** The blocks' room for jobs at one moment; what is dispatched in the meantime is taken off it. */
+export class BlockCapacity {
   private readonly used: ReadonlyMap<string, Resources>;
-  /** Room by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
-  private readonly byKind = new Map<string, (Room & { spot: boolean })[]>();
+  /** Capacity by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
+  private readonly byKind = new Map<string, (Capacity & { spot: boolean })[]>();
   /** CPUs of tasks that wait in a block, by the kind of machine that they wait for. */
   private readonly waitingCpus = new Map<string, number>();
 
-  constructor(private readonly facts: RoomFacts) {
-    this.used = facts.census.loads();
-    for (const job of facts.census.jobs.values()) {
-      for (const { block, count } of facts.census.waiting(job)) {
+  constructor(private readonly facts: CapacityFacts) {
+    this.used = facts.jobIndex.loads();
+    for (const job of facts.jobIndex.jobs.values()) {
+      for (const { block, count } of facts.jobIndex.waiting(job)) {
         if (block !== undefined) this.take(job.spec, block, count);
       }
     }
   }
 
   /** Roomiest first. Blocks whose owner is gone have none, unless all owners are. */
-  of(spec: JobSpec): Room[] {
+  of(spec: JobSpec): Capacity[] {
     const key = [spec.cpus, spec.accelerators, spec.memoryGb, spec.spot, spec.zone, spec.types].join('/');
     let kind = this.byKind.get(key);
     if (!kind) this.byKind.set(key, (kind = this.measure(spec)));
-    const rooms = kind.map(({ block, free, size }) => {
+    const capacities = kind.map(({ block, free, size }) => {
       const waiting = (this.waitingCpus.get(kindKey(spec, block)) ?? 0) / Math.max(spec.cpus, 1e-3);
       return { block, free: Math.floor(free - waiting), size };
     });
-    return rooms.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
+    return capacities.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
   }
 
-  private measure(spec: JobSpec): (Room & { spot: boolean })[] {
+  private measure(spec: JobSpec): (Capacity & { spot: boolean })[] {
     const { blocks, alive, types, lookahead, up } = this.facts;
     const all = [...blocks];
     const served = all.filter(([, record]) => alive(record.owner));
@@ -83,7 +83,7 @@
 
   /**
    * The more waits beyond what all blocks have room for, the more each is given ahead: there is work for all of them until
-   * it is done, and each deal is a change of the store.
+   * it is done, and each dispatch is a change of the store.
    */
   deepen(backlog: Iterable<{ spec: JobSpec; tasks: number }>): void {
     const waiting = new Map<boolean, number>();
@@ -116,17 +116,19 @@
 
   /** All tasks over all blocks by their sizes, whether or not there is room. */
   bySize(spec: JobSpec): Part[] {
-    const rooms = this.of(spec);
-    const best = rooms[0];
+    const capacities = this.of(spec);
+    const best = capacities[0];
     if (!best) return [];
     if (bound(spec)) return [{ block: best.block, first: 0, count: spec.tasks }];
-    const total = rooms.reduce((sum, room) => sum + room.size + 1, 0);
+    const total = capacities.reduce((sum, room) => sum + room.size + 1, 0);
     const parts: Part[] = [];
     let first = 0;
-    for (const [i, room] of rooms.entries()) {
+    for (const [i, room] of capacities.entries()) {
       const rest = spec.tasks - first;
       const count =
-        i === rooms.length - 1 ? rest : Math.min(rest, Math.round((spec.tasks * (room.size + 1)) / total));
+        i === capacities.length - 1
+          ? rest
+          : Math.min(rest, Math.round((spec.tasks * (room.size + 1)) / total));
       if (count > 0) parts.push({ block: room.block, first, count });
       first += count;
     }
@@ -134,20 +136,20 @@
   }
 
   /**
-   * Deals tasks that no block has yet to where there is room for them, and takes that room. Undefined: there is none.
+   * Dispatches tasks that no block has yet to where there is room for them, and takes that room. Undefined: there is none.
    */
-  deal(spec: JobSpec, parts: Part[]): Part[] | undefined {
-    const rooms = this.of(spec);
+  dispatch(spec: JobSpec, parts: Part[]): Part[] | undefined {
+    const capacities = this.of(spec);
     if (bound(spec)) {
-      const best = rooms[0];
+      const best = capacities[0];
       // Tasks that are bound to each other by zone go to one block, all of them, as soon as any could start.
       if (parts.length > 0 || !best || best.free <= 0) return undefined;
       this.take(spec, best.block, spec.tasks);
       return [{ block: best.block, first: 0, count: spec.tasks }];
     }
-    const gaps = undealt(parts, spec.tasks);
+    const gaps = undispatched(parts, spec.tasks);
     const more: Part[] = [];
-    for (const room of rooms) {
+    for (const room of capacities) {
       let free = room.free;
       while (free > 0) {
         const gap = gaps[0];
@@ -171,7 +173,7 @@
 }
 
 /** The tasks that no range covers. */
-export function undealt(parts: Part[], tasks: number): { first: number; count: number }[] {
+export function undispatched(parts: Part[], tasks: number): { first: number; count: number }[] {
   const gaps: { first: number; count: number }[] = [];
   let at = 0;
   for (const { first, count } of [...parts].sort((a, b) => a.first - b.first)) {
@@ -182,8 +184,8 @@
   return gaps;
 }
 
-export function undealtTasks(parts: Part[], tasks: number): number {
-  return undealt(parts, tasks).reduce((sum, gap) => sum + gap.count, 0);
+export function undispatchedTasks(parts: Part[], tasks: number): number {
+  return undispatched(parts, tasks).reduce((sum, gap) => sum + gap.count, 0);
 }
 
 /** Joins neighbouring ranges of the same block; the order of the first stays, since its block asks for the end. */
--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -4,8 +4,8 @@
 import { runRoutine } from '../base/routine.js';
 import type { CloudClient } from '../cloud/client.js';
 import type { MachineType } from '../model/types.js';
-import { Board } from '../placement/board.js';
-import type { Census } from '../placement/census.js';
+import { BlockState } from '../placement/block-state.js';
+import type { JobIndex } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { OperatorSettings } from '../settings/operator.js';
@@ -20,7 +20,7 @@
 import { giveTo } from './leasing.js';
 import type { Registry } from './registry.js';
 
-export interface TenancyPorts {
+export interface BlockLeasesPorts {
   clock: Clock;
   wallClock: () => number;
   log: Log;
@@ -29,7 +29,7 @@
   store: StoreClient;
   commits: CommitStage;
   mirror: Mirror;
-  census: Census;
+  jobIndex: JobIndex;
   registry: Registry;
   cloud: CloudClient;
   /** The store has lately answered us. */
@@ -55,33 +55,33 @@
   return Math.max(1, Math.min(most, Math.floor(state.writeRps / controllers / changesPerPage)));
 }
 
-interface Tenure {
-  board: Board;
+interface HeldBlock {
+  blockState: BlockState;
   scheduler: Scheduler;
   stop: AbortController;
 }
 
-/** The blocks that are leased to this controller, each with its board and its duties. */
-export class Tenancy {
-  private readonly tenures = new Map<number, Tenure>();
+/** The blocks that are leased to this controller, each with its state and its duties. */
+export class BlockLeases {
+  private readonly held = new Map<number, HeldBlock>();
   private renewing = false;
 
-  constructor(private readonly ports: TenancyPorts) {
+  constructor(private readonly ports: BlockLeasesPorts) {
     // A controller that is stopping must not go on judging machines that it no longer hears.
     const endAll = (): void => {
-      for (const [block, tenure] of this.tenures) this.end(block, tenure);
+      for (const [block, heldBlock] of this.held) this.end(block, heldBlock);
     };
     ports.signal.addEventListener('abort', endAll, { once: true });
   }
 
-  boards(): Board[] {
-    return [...this.tenures.values()].map((tenure) => tenure.board);
+  blockStates(): BlockState[] {
+    return [...this.held.values()].map((heldBlock) => heldBlock.blockState);
   }
 
-  find(machine: string): { board: Board; scheduler: Scheduler; machine: MachineState } | undefined {
-    for (const { board, scheduler } of this.tenures.values()) {
-      const found = board.machines.get(machine);
-      if (found && found.token > 0) return { board, scheduler, machine: found };
+  find(machine: string): { blockState: BlockState; scheduler: Scheduler; machine: MachineState } | undefined {
+    for (const { blockState, scheduler } of this.held.values()) {
+      const found = blockState.machines.get(machine);
+      if (found && found.token > 0) return { blockState, scheduler, machine: found };
     }
     return undefined;
   }
@@ -91,10 +91,10 @@
     const { registry, settings, boot, signal } = this.ports;
     if (signal.aborted) return;
     const blocks = registry.blocks();
-    for (const [block, tenure] of this.tenures) {
+    for (const [block, heldBlock] of this.held) {
       const record = blocks.get(block);
-      if (record?.owner !== settings.label || record.boot !== boot) this.end(block, tenure);
-      else if (tenure.board.apply(changes)) tenure.scheduler.poke();
+      if (record?.owner !== settings.label || record.boot !== boot) this.end(block, heldBlock);
+      else if (heldBlock.blockState.apply(changes)) heldBlock.scheduler.poke();
     }
     for (const [block, record] of blocks) {
       if (record.owner !== settings.label) continue;
@@ -103,10 +103,10 @@
         if (!this.renewing) void this.renew(block, record, version);
         continue;
       }
-      const tenure = this.tenures.get(block) ?? this.begin(block);
-      if (tenure.board.version === version) continue;
-      tenure.board.applyBlock(record, version);
-      tenure.scheduler.poke();
+      const heldBlock = this.held.get(block) ?? this.begin(block);
+      if (heldBlock.blockState.version === version) continue;
+      heldBlock.blockState.applyBlock(record, version);
+      heldBlock.scheduler.poke();
     }
   }
 
@@ -128,7 +128,7 @@
     this.renewing = false;
   }
 
-  private begin(block: number): Tenure {
+  private begin(block: number): HeldBlock {
     const { ports } = this;
     const { settings, log, clock, wallClock, mirror, order } = ports;
     const stop = new AbortController();
@@ -137,7 +137,7 @@
     setMaxListeners(0, signal);
     const { valueBytes } = settings.state;
     const pageBytes = valueBytes / pagesPerValue(settings);
-    const board = new Board({
+    const blockState = new BlockState({
       block,
       valueBytes,
       pageBytes,
@@ -147,25 +147,25 @@
       wallClock,
       order,
     });
-    board.load(mirror);
-    const scheduler = new Scheduler({ ...ports, board, signal: stop.signal });
+    blockState.load(mirror);
+    const scheduler = new Scheduler({ ...ports, blockState, signal: stop.signal });
     const healthMonitor = new HealthMonitor({
       ...ports,
-      board,
+      blockState,
       signal: stop.signal,
       onFreed: () => scheduler.poke(),
     });
-    const tenure = { board, scheduler, stop };
-    this.tenures.set(block, tenure);
+    const heldBlock = { blockState, scheduler, stop };
+    this.held.set(block, heldBlock);
     void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
     void runRoutine(`health-monitor-${block}`, signal, log, () => healthMonitor.run());
-    log.info({ event: 'lease-begins', block, jobs: board.jobs.size }, 'block is ours');
-    return tenure;
+    log.info({ event: 'lease-begins', block, jobs: blockState.jobs.size }, 'block is ours');
+    return heldBlock;
   }
 
-  private end(block: number, tenure: Tenure): void {
-    tenure.stop.abort();
-    this.tenures.delete(block);
+  private end(block: number, heldBlock: HeldBlock): void {
+    heldBlock.stop.abort();
+    this.held.delete(block);
     this.ports.log.info({ event: 'lease-over', block }, 'block is no longer ours');
   }
 }
--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
-import { Census, type CensusEntry } from '../placement/census.js';
+import { JobIndex, type IndexedEntry } from '../placement/job-index.js';
 import { OrderOfWork, type Queued } from '../placement/order.js';
 import { testSettings } from '../testing/settings.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { parseMachineTypes } from '../wire/cloud.js';
 import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
 import { type LeaseFacts, nextBlocks } from './leasing.js';
-import { Rooms, mergeParts, undealt } from './rooms.js';
+import { BlockCapacity, mergeParts, undispatched } from './block-capacity.js';
 import { restore, takeBack } from './rebalance.js';
 import { nextShares } from './shares.js';
 
@@ -120,14 +120,14 @@
   ...change,
 });
 
-function rooms(up: (id: string) => boolean = () => true): Rooms {
-  const census = new Census(() => 0);
+function rooms(up: (id: string) => boolean = () => true): BlockCapacity {
+  const jobIndex = new JobIndex(() => 0);
   const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t]));
   const blocks = new Map([
     [0, block('k0', machine('m1'))],
     [1, block('k1', machine('m2'), machine('m3'))],
   ]);
-  return new Rooms({ blocks, alive: () => true, types, census, lookahead: 0, up: (m) => up(m.id) });
+  return new BlockCapacity({ blocks, alive: () => true, types, jobIndex, lookahead: 0, up: (m) => up(m.id) });
 }
 
 test('a job goes whole to the roomiest block, and to none where none has room for all of it', () => {
@@ -146,28 +146,28 @@
   );
 });
 
-test('a job too big for one block is dealt as far as there is room, and what is dealt takes that room', () => {
+test('a job too big for one block is dispatched as far as there is room, and what is dispatched takes that room', () => {
   const some = rooms();
-  assert.deepEqual(some.deal(spec('req-1', 11), []), [
+  assert.deepEqual(some.dispatch(spec('req-1', 11), []), [
     { block: 1, first: 0, count: 8 },
     { block: 0, first: 8, count: 3 },
   ]);
-  assert.deepEqual(some.deal(spec('req-2', 4), []), [{ block: 0, first: 0, count: 1 }]);
-  assert.equal(some.deal(spec('req-3', 4), []), undefined);
+  assert.deepEqual(some.dispatch(spec('req-2', 4), []), [{ block: 0, first: 0, count: 1 }]);
+  assert.equal(some.dispatch(spec('req-3', 4), []), undefined);
 });
 
-test('tasks bound to each other by zone are dealt to one block, all or none', () => {
-  assert.deepEqual(rooms().deal(spec('req-1', 20, { oneZone: true }), []), [
+test('tasks bound to each other by zone are dispatched to one block, all or none', () => {
+  assert.deepEqual(rooms().dispatch(spec('req-1', 20, { oneZone: true }), []), [
     { block: 1, first: 0, count: 20 },
   ]);
 });
 
-test('every task is dealt once: gaps are found and neighbouring ranges joined', () => {
+test('every task is dispatched once: gaps are found and neighbouring ranges joined', () => {
   const parts = [
     { block: 0, first: 4, count: 2 },
     { block: 1, first: 0, count: 3 },
   ];
-  assert.deepEqual(undealt(parts, 8), [
+  assert.deepEqual(undispatched(parts, 8), [
     { first: 3, count: 1 },
     { first: 6, count: 2 },
   ]);
@@ -182,35 +182,35 @@
   const large = { spec: spec('req-1', 60, { acceptedAt: 0 }), parts: [] as Part[] };
   const order = new OrderOfWork([]);
   const jobs = [large];
-  const dealt = (job: { parts: Part[] }): number => job.parts.reduce((sum, part) => sum + part.count, 0);
+  const dispatched = (job: { parts: Part[] }): number => job.parts.reduce((sum, part) => sum + part.count, 0);
   const queued = (job: (typeof jobs)[number]): Queued => {
-    return { spec: job.spec, waiting: job.spec.tasks - dealt(job), started: dealt(job) > 0 };
+    return { spec: job.spec, waiting: job.spec.tasks - dispatched(job), started: dispatched(job) > 0 };
   };
   let begunS = Infinity;
   let nowS = 0;
-  for (; dealt(large) < 60 && nowS < 900; nowS += 10) {
+  for (; dispatched(large) < 60 && nowS < 900; nowS += 10) {
     // Every round all that ran has ended, and as many small jobs come as would fill the room.
     for (let i = 0; i < 3; i++) {
       jobs.push({ spec: spec(`req-${100 + nowS + i}`, 4, { acceptedAt: nowS * 1000 }), parts: [] });
     }
     const room = rooms();
-    const open = jobs.filter((job) => dealt(job) < job.spec.tasks);
+    const open = jobs.filter((job) => dispatched(job) < job.spec.tasks);
     for (const job of order.sorted(open, queued, nowS * 1000)) {
-      job.parts = room.deal(job.spec, job.parts) ?? job.parts;
+      job.parts = room.dispatch(job.spec, job.parts) ?? job.parts;
     }
-    if (dealt(large) > 0) begunS = Math.min(begunS, nowS);
+    if (dispatched(large) > 0) begunS = Math.min(begunS, nowS);
   }
   assert.ok(begunS < 240, `began after ${begunS} s`);
-  assert.ok(nowS < 400, `all dealt after ${nowS} s`);
+  assert.ok(nowS < 400, `all dispatched after ${nowS} s`);
 });
 
-// Guards against deals task by task: with 25 changes a second a third of them were deals of what had no room.
+// Guards against dispatches task by task: with 25 changes a second a third of them were dispatches of what had no room.
 test('the more waits beyond all room, the more a block is given ahead, up to its size once over', () => {
   const large = spec('req-1', 500);
   const given = (backlog: number): number => {
     const room = rooms();
     if (backlog > 0) room.deepen([{ spec: large, tasks: backlog }]);
-    return (room.deal(large, []) ?? []).reduce((sum, part) => sum + part.count, 0);
+    return (room.dispatch(large, []) ?? []).reduce((sum, part) => sum + part.count, 0);
   };
   const [without, some, much] = [given(0), given(12), given(500)];
   assert.equal(without, 12);
@@ -218,7 +218,7 @@
   assert.equal(much, without * 2);
 });
 
-const entry = (at: number, active: number[], done: number[] = []): CensusEntry => ({
+const entry = (at: number, active: number[], done: number[] = []): IndexedEntry => ({
   ...{ id: 'req-1', chunk: 0, team: 'red', cpus: 1, accelerators: 0, memoryGb: 1, waiting: [], doneCount: 0 },
   ...{ block: at, active: active.map((index) => [index, 1, 'm1']), done },
 });
@@ -251,7 +251,7 @@
 });
 
 // Guards against two blocks that start one task: its intent was committed just before it was taken back, unseen.
-test("a task that is on a block's ledger goes back to that block before anything of its job is dealt", () => {
+test("a task that is on a block's ledger goes back to that block before anything of its job is dispatched", () => {
   const parts = [{ block: 1, first: 0, count: 2 }];
   const job = (change: Partial<JobSpec> = {}, at = parts): { parts: Part[]; spec: JobSpec } => ({
     ...{ parts: at, spec: spec('req-1', 6, change) },
--- a/src/blocks/dispatcher.ts
+++ b/src/blocks/dispatcher.ts
@@ -2,112 +2,114 @@
 import type { Log } from '../base/log.js';
 import type { Term } from '../leadership/term.js';
 import type { MachineType } from '../model/types.js';
-import { type Census, type CensusJob, needOf } from '../placement/census.js';
+import { type JobIndex, type IndexedJob, needOf } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
-import { Usage } from '../placement/plan.js';
+import { Usage } from '../placement/placement-round.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
 import { type LeasedMachine, type Part, jobKey, jobRecord, leadKey } from '../wire/records.js';
 import { restore, takeBack } from './rebalance.js';
 import type { Registry } from './registry.js';
-import { type Room, Rooms, bound, undealt, undealtTasks } from './rooms.js';
+import { type Capacity, BlockCapacity, bound, undispatched, undispatchedTasks } from './block-capacity.js';
 
-export interface DealingPorts {
+export interface DispatcherPorts {
   clock: Clock;
   log: Log;
   settings: Settings;
   commits: CommitStage;
   mirror: Mirror;
-  census: Census;
+  jobIndex: JobIndex;
   registry: Registry;
   term: Term;
   order: OrderOfWork;
   wallClock: () => number;
   types: () => ReadonlyMap<string, MachineType>;
-  /** See the blocks' rooms. */
+  /** See the blocks' capacity. */
   lookahead: number;
   up: (machine: LeasedMachine) => boolean;
 }
 
-/** What is left over is dealt again after this part of a report interval. */
-const dealReports = 0.5;
+/** What is left over is dispatched again after this part of a report interval. */
+const dispatchReports = 0.5;
 /**
- * Tasks that wait in a block without room for so many report intervals, while another has some, are taken back and dealt
+ * Tasks that wait in a block without room for so many report intervals, while another has some, are taken back and dispatched
  * again. Sooner than that most of them start where they are.
  */
 const stuckReports = 4;
-/** Jobs dealt at a time, as a share of the changes that the store takes in a second or a transaction. */
-const dealShare = 0.35;
+/** Jobs dispatched at a time, as a share of the changes that the store takes in a second or a transaction. */
+const dispatchShare = 0.35;
 
-/** The leader's dealing of jobs to blocks: of what no block has, and of what waits in one while another has room. */
-export class Dealing {
-  private dealtAt = -Infinity;
+/** The leader's dispatching of jobs to blocks: of what no block has, and of what waits in one while another has room. */
+export class Dispatcher {
+  private dispatchedAt = -Infinity;
   private rebalancedAt = -Infinity;
-  /** Jobs that had tasks left when last there was dealing. */
+  /** Jobs that had tasks left when last there was dispatching. */
   private leftOver: ReadonlySet<string> = new Set();
   /** Since when jobs, by block, have waited there beside room elsewhere. */
   private stuckSince: ReadonlyMap<string, number> = new Map();
   /** The copy must have reached this revision before we build on it again. */
   private committed = 0;
 
-  constructor(private readonly ports: DealingPorts) {}
+  constructor(private readonly ports: DispatcherPorts) {}
 
   /** Returns the revision of the last commit. */
   async look(): Promise<number> {
-    await this.dealJobs();
+    await this.dispatchJobs();
     if (this.ports.mirror.revision >= this.committed) await this.rebalance();
     return this.committed;
   }
 
-  /** Deals out what no block has yet, in the order of work. */
-  private async dealJobs(): Promise<void> {
-    const { census, settings, order, wallClock, commits } = this.ports;
-    const open = [...census.jobs.values()].filter((job) => undealt(job.parts, job.spec.tasks).length > 0);
-    const due = this.dueForDealing(open);
+  /** Dispatches what no block has yet, in the order of work. */
+  private async dispatchJobs(): Promise<void> {
+    const { jobIndex, settings, order, wallClock, commits } = this.ports;
+    const open = [...jobIndex.jobs.values()].filter(
+      (job) => undispatched(job.parts, job.spec.tasks).length > 0,
+    );
+    const due = this.dueForDispatch(open);
     // Behind a queue of commits it would be out of date, and hold up what our own block has to start.
     if (due.length === 0 || commits.writableLength > settings.state.txnOps / 2) return;
-    const rooms = this.rooms();
-    rooms.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undealtTasks(parts, spec.tasks) })));
-    const deals: Promise<void>[] = [];
-    for (const job of census.inOrder(order, wallClock(), due)) {
-      if (deals.length >= this.mostDeals) break;
+    const capacity = this.capacity();
+    capacity.deepen(open.map(({ spec, parts }) => ({ spec, tasks: undispatchedTasks(parts, spec.tasks) })));
+    const dispatches: Promise<void>[] = [];
+    for (const job of jobIndex.inOrder(order, wallClock(), due)) {
+      if (dispatches.length >= this.mostDispatches) break;
       const { spec, parts } = job;
-      const next = restore(job, census.entries(job.id)) ?? rooms.deal(spec, parts);
-      if (next) deals.push(this.place(job, next));
+      const next = restore(job, jobIndex.entries(job.id)) ?? capacity.dispatch(spec, parts);
+      if (next) dispatches.push(this.place(job, next));
     }
-    await Promise.all(deals);
+    await Promise.all(dispatches);
   }
 
   /**
    * Takes back what has waited in a full block for long while another has room for it, a machine that its team's limit
-   * admits. It is dealt anew once the copy has reached the record without it.
+   * admits. It is dispatched anew once the copy has reached the record without it.
    */
   private async rebalance(): Promise<void> {
-    const { census, clock, settings, order, wallClock } = this.ports;
+    const { jobIndex, clock, settings, order, wallClock } = this.ports;
     const now = clock();
     if (now - this.rebalancedAt < settings.reportMs) return;
     this.rebalancedAt = now;
     const stuck = new Map<string, number>();
-    const rooms = this.rooms(0);
+    const capacity = this.capacity(0);
     const usage = new Usage();
-    for (const { page } of census.activeTasks()) usage.add(page.team, needOf(page));
+    for (const { page } of jobIndex.activeTasks()) usage.add(page.team, needOf(page));
     const recalls: Promise<void>[] = [];
-    for (const job of census.inOrder(order, wallClock())) {
+    for (const job of jobIndex.inOrder(order, wallClock())) {
       if (!usage.admits(settings.teams.get(job.spec.team), needOf(job.spec))) continue;
-      for (const { block, count } of census.waiting(job)) {
+      for (const { block, count } of jobIndex.waiting(job)) {
         if (block === undefined) continue;
-        const room = rooms.of(job.spec);
+        const room = capacity.of(job.spec);
         const tasks = movable(room, block, count);
         if (tasks === 0) continue;
         const key = `${block}/${job.id}`;
         const since = this.stuckSince.get(key) ?? now;
         stuck.set(key, since);
-        if (now - since < settings.reportMs * stuckReports || recalls.length >= this.mostDeals) continue;
+        if (now - since < settings.reportMs * stuckReports || recalls.length >= this.mostDispatches) continue;
         const parts = this.without(job, block, tasks);
         if (!parts) continue;
         for (const other of room) {
-          if (other.block !== block) rooms.take(job.spec, other.block, clamp(other.free, tasks));
+          if (other.block !== block) capacity.take(job.spec, other.block, clamp(other.free, tasks));
         }
         stuck.delete(key);
         recalls.push(this.place(job, parts));
@@ -119,41 +121,41 @@
   }
 
   /** Tasks that depend on each other's zones stay with one block, so all of them go or none. */
-  private without(job: CensusJob, block: number, tasks: number): Part[] | undefined {
-    const { census } = this.ports;
+  private without(job: IndexedJob, block: number, tasks: number): Part[] | undefined {
+    const { jobIndex } = this.ports;
     const { spec, parts, id } = job;
-    if (!bound(spec)) return takeBack(parts, block, census.entries(id), tasks);
-    const { done, active } = census.progress(id);
-    return done + active > 0 ? undefined : takeBack(parts, block, census.entries(id), spec.tasks);
+    if (!bound(spec)) return takeBack(parts, block, jobIndex.entries(id), tasks);
+    const { done, active } = jobIndex.progress(id);
+    return done + active > 0 ? undefined : takeBack(parts, block, jobIndex.entries(id), spec.tasks);
   }
 
-  private rooms(lookahead = this.ports.lookahead): Rooms {
-    const { census, registry, types, up } = this.ports;
+  private capacity(lookahead = this.ports.lookahead): BlockCapacity {
+    const { jobIndex, registry, types, up } = this.ports;
     const alive = (label: string): boolean => registry.isAlive(label);
-    return new Rooms({ blocks: registry.blocks(), alive, types: types(), census, lookahead, up });
+    return new BlockCapacity({ blocks: registry.blocks(), alive, types: types(), jobIndex, lookahead, up });
   }
 
-  private get mostDeals(): number {
+  private get mostDispatches(): number {
     const { state } = this.ports.settings;
-    return Math.max(2, Math.min(state.txnOps, state.writeRps) * dealShare);
+    return Math.max(2, Math.min(state.txnOps, state.writeRps) * dispatchShare);
   }
 
   /**
-   * A job that has just come is dealt at once. What was left over before waits for room, which appears a task at a time:
-   * dealing each of them alone would take most of the changes that the store allows, and the blocks have work ahead.
+   * A job that has just come is dispatched at once. What was left over before waits for room, which appears a task at a time:
+   * dispatching each of them alone would take most of the changes that the store allows, and the blocks have work ahead.
    */
-  private dueForDealing(open: CensusJob[]): CensusJob[] {
+  private dueForDispatch(open: IndexedJob[]): IndexedJob[] {
     const { clock, settings } = this.ports;
     const before = this.leftOver;
     this.leftOver = new Set(open.map((job) => job.id));
-    if (clock() - this.dealtAt < settings.reportMs * dealReports) {
+    if (clock() - this.dispatchedAt < settings.reportMs * dispatchReports) {
       return open.filter((job) => !before.has(job.id));
     }
-    this.dealtAt = clock();
+    this.dispatchedAt = clock();
     return open;
   }
 
-  private async place(job: CensusJob, parts: Part[]): Promise<void> {
+  private async place(job: IndexedJob, parts: Part[]): Promise<void> {
     const { commits, log, term } = this.ports;
     const outcome = await commits.commit(
       [
@@ -163,12 +165,15 @@
       [{ put: jobKey(job.id), value: jobRecord({ spec: job.spec, parts }) }],
     );
     if (outcome.kind === 'applied') this.committed = Math.max(this.committed, outcome.revision);
-    log.debug({ event: 'job-dealt', job: job.id, parts, outcome: outcome.kind }, 'job dealt to blocks');
+    log.debug(
+      { event: 'job-dispatched', job: job.id, parts, outcome: outcome.kind },
+      'job dispatched to blocks',
+    );
   }
 }
 
 /** How many of a job's tasks that wait in a block have no room there and some in others. */
-function movable(room: Room[], block: number, waiting: number): number {
+function movable(room: Capacity[], block: number, waiting: number): number {
   const own = room.find((r) => r.block === block);
   // A block whose owner is gone has none.
   const over = own ? clamp(-own.free, waiting) : waiting;
--- a/src/blocks/rebalance.ts
+++ b/src/blocks/rebalance.ts
@@ -1,9 +1,9 @@
 import type { JobSpec } from '../model/types.js';
-import type { CensusEntry } from '../placement/census.js';
+import type { IndexedEntry } from '../placement/job-index.js';
 import { fromRanges, type Part } from '../wire/records.js';
-import { bound, mergeParts, undealt } from './rooms.js';
+import { bound, mergeParts, undispatched } from './block-capacity.js';
 
-type Entry = Pick<CensusEntry, 'block' | 'active' | 'done'>;
+type Entry = Pick<IndexedEntry, 'block' | 'active' | 'done'>;
 
 /** Tasks that a block has on a machine, or done: these are nobody else's. */
 function heldBy(block: number, entries: Iterable<Entry>): Set<number> {
@@ -61,7 +61,7 @@
   { parts, spec }: { parts: Part[]; spec: Pick<JobSpec, 'tasks' | 'oneZone' | 'spread'> },
   entries: Iterable<Entry>,
 ): Part[] | undefined {
-  const gaps = undealt(parts, spec.tasks);
+  const gaps = undispatched(parts, spec.tasks);
   if (gaps.length === 0) return undefined;
   const restored: Part[] = [];
   for (const entry of entries) {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -6,10 +6,10 @@
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { type RequestHandler, serveWeb } from './base/web.js';
-import { Rooms } from './blocks/rooms.js';
-import { Landlord } from './blocks/landlord.js';
+import { BlockCapacity } from './blocks/block-capacity.js';
+import { BlockAllocator } from './blocks/block-allocator.js';
 import { Registry } from './blocks/registry.js';
-import { Tenancy } from './blocks/tenancy.js';
+import { BlockLeases } from './blocks/block-leases.js';
 import { CloudClient } from './cloud/client.js';
 import { Cancellations } from './intake/cancellations.js';
 import { Intake } from './intake/intake.js';
@@ -20,7 +20,7 @@
 import type { Term } from './leadership/term.js';
 import type { JobSpec, MachineType } from './model/types.js';
 import { PeerLinks, type PeerStatus, splitAddress } from './peers/links.js';
-import { Census } from './placement/census.js';
+import { JobIndex } from './placement/job-index.js';
 import { OrderOfWork } from './placement/order.js';
 import type { OperatorSettings } from './settings/operator.js';
 import type { Settings } from './settings/settings.js';
@@ -36,10 +36,10 @@
   leadKey,
   parseEnd,
 } from './wire/records.js';
-import { WorkerDesk } from './workers/desk.js';
+import { ReportHandler } from './workers/report-handler.js';
 
 const probeMs = 400;
-const roomsEveryMs = 300;
+const capacityEveryMs = 300;
 /** The protocol's usual boot takes up to so many times the type's figure. */
 const usualBootTimes = 1.5;
 const upKept = 4000;
@@ -76,7 +76,7 @@
   types: () => ReadonlyMap<string, MachineType>;
   store: StoreClient;
   mirror: Mirror;
-  census: Census;
+  jobIndex: JobIndex;
   registry: Registry;
   cloud: CloudClient;
   /** Everything that is not a user's commits. */
@@ -97,10 +97,10 @@
   private readonly stages: Record<Lane, CommitStage>;
   private readonly store: StoreClient;
   private readonly mirror: Mirror;
-  private readonly census: Census;
+  private readonly jobIndex: JobIndex;
   private readonly registry: Registry;
   private readonly cloud: CloudClient;
-  private readonly tenancy: Tenancy;
+  private readonly leases: BlockLeases;
   private readonly membership: Membership;
   private readonly election: Election;
   private readonly peers: PeerLinks;
@@ -108,8 +108,8 @@
   private fleet: Fleet | undefined;
   /** Machines that have reported to their owner. */
   private readonly up = new Set<string>();
-  private rooms: Rooms | undefined;
-  private roomsAt = -Infinity;
+  private capacity: BlockCapacity | undefined;
+  private capacityAt = -Infinity;
   private storeLoggedAt = -Infinity;
 
   constructor(
@@ -125,7 +125,7 @@
     const store = new StoreClient(settings, clock, signal);
     const mirror = new Mirror(store, store.watchGapMs, probeMs);
     const cancellations = new Cancellations(() => mirror.firstRevision);
-    const census = new Census(clock);
+    const jobIndex = new JobIndex(clock);
     const registry = new Registry(mirror);
     const cloud = new CloudClient(settings, clock, signal);
     const stage = (lane: Lane, transactions: number): CommitStage =>
@@ -139,14 +139,14 @@
     const types = (): ReadonlyMap<string, MachineType> => this.types;
     const shared = {
       ...{ clock, wallClock: Date.now, log, settings, operator, boot, types },
-      ...{ store, mirror, census, registry, cloud, commits },
+      ...{ store, mirror, jobIndex, registry, cloud, commits },
       inTouch: () => !store.failing && store.contactAge(clock()) < this.membership.ttlMs,
       order: new OrderOfWork(settings.objectives, settings.reportMs * tellingReports),
     };
     this.parts = shared;
     // Only others can keep the workers' tasks then: they are leased our blocks as soon as our grant is gone.
     const onUnheard = (): void => this.membership.stepAside(settings.cancelMs);
-    this.tenancy = new Tenancy({ ...shared, signal, onUnheard });
+    this.leases = new BlockLeases({ ...shared, signal, onUnheard });
     this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
     this.election = new Election({
@@ -168,15 +168,15 @@
       facts: () => ({
         contactAge: store.contactAge(clock()),
         token: this.election.term?.token ?? 0,
-        gone: this.tenancy.boards().flatMap((board) => board.goneSince(clock() - toldMs)),
-        up: this.tenancy.boards().flatMap((board) => board.upSince(clock() - toldMs)),
+        gone: this.leases.blockStates().flatMap((blockState) => blockState.goneSince(clock() - toldMs)),
+        up: this.leases.blockStates().flatMap((blockState) => blockState.upSince(clock() - toldMs)),
       }),
       vouch: (revision) => cancellations.since(revision),
       onStatus: (status) => this.heed(status),
     });
     this.store = store;
     this.mirror = mirror;
-    this.census = census;
+    this.jobIndex = jobIndex;
     this.registry = registry;
     this.cloud = cloud;
     let loaded = false;
@@ -186,24 +186,24 @@
         if (id !== undefined && parseEnd(change.value)?.end === 'cancelled')
           cancellations.learn(id, change.version);
       }
-      if (loaded) census.apply(changes);
-      else census.load(mirror);
+      if (loaded) jobIndex.apply(changes);
+      else jobIndex.load(mirror);
       loaded = true;
-      this.tenancy.follow(changes);
+      this.leases.follow(changes);
     });
   }
 
   async run(): Promise<void> {
     const { settings, log, clock, signal, mirror } = this;
-    const desk = new WorkerDesk({
-      ...{ clock, label: settings.label, tenancy: this.tenancy, registry: this.registry },
+    const reportHandler = new ReportHandler({
+      ...{ clock, label: settings.label, leases: this.leases, registry: this.registry },
       leader: () => this.election.leader,
       mayStart: () => this.mayStart(),
       mayAnswer: () => this.mayAnswer(),
       reportMs: settings.reportMs,
       settleMs: settings.reportMs / 4,
     });
-    const lean = [desk.route, this.intake.health];
+    const lean = [reportHandler.route, this.intake.health];
     const loadHandler = async (): Promise<RequestHandler> => {
       const { createUserHandler } = await import('./base/user-handler.js');
       return createUserHandler(this.intake.routes, lean, log);
@@ -239,7 +239,7 @@
       firstEver: registry.blocks().size === 0,
       leased: () => registry.machines(),
     });
-    const landlord = new Landlord({
+    const allocator = new BlockAllocator({
       ...shared,
       fleet,
       periodMs: operator.blocks.periodS * 1000,
@@ -248,34 +248,37 @@
     });
     this.fleet = fleet;
     try {
-      await Promise.all([runRoutine('landlord', term.signal, log, () => landlord.run()), fleet.run()]);
+      await Promise.all([
+        runRoutine('block-allocator', term.signal, log, () => allocator.run()),
+        fleet.run(),
+      ]);
     } finally {
       this.fleet = undefined;
     }
   }
 
-  /** A job goes whole to the block with the most room; what is too big for any is the leader's to deal out. */
+  /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch out. */
   private home(spec: JobSpec): Part[] {
-    const { registry, census, types, election } = this;
+    const { registry, jobIndex, types, election } = this;
     const alive = (label: string): boolean => registry.isAlive(label);
     // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
-    if (!this.rooms || this.clock() - this.roomsAt > roomsEveryMs) {
-      this.rooms = new Rooms({
-        ...{ blocks: registry.blocks(), alive, types, census, lookahead: 0 },
+    if (!this.capacity || this.clock() - this.capacityAt > capacityEveryMs) {
+      this.capacity = new BlockCapacity({
+        ...{ blocks: registry.blocks(), alive, types, jobIndex, lookahead: 0 },
         up: (machine) => this.isUp(machine),
       });
-      this.roomsAt = this.clock();
+      this.capacityAt = this.clock();
     }
     // Our own block can start it without waiting for anybody's watch.
-    const ours = new Set(this.tenancy.boards().map((board) => board.block));
-    const parts = this.rooms.whole(spec, (block) => ours.has(block));
-    for (const { block, count } of parts ?? []) this.rooms.take(spec, block, count);
-    // Without a leader there is nobody to deal: the blocks then share it by their sizes.
-    return parts ?? (election.leader === undefined ? this.rooms.bySize(spec) : []);
+    const ours = new Set(this.leases.blockStates().map((blockState) => blockState.block));
+    const parts = this.capacity.whole(spec, (block) => ours.has(block));
+    for (const { block, count } of parts ?? []) this.capacity.take(spec, block, count);
+    // Without a leader there is nobody to dispatch: the blocks then share it by their sizes.
+    return parts ?? (election.leader === undefined ? this.capacity.bySize(spec) : []);
   }
 
   /**
-   * Tasks are dealt only to machines that can start them: while one boots, another block may have room. Up is what any
+   * Tasks are dispatched only to machines that can start them: while one boots, another block may have room. Up is what any
    * owner has heard of, and what has had the longest time that booting usually takes.
    */
   private isUp(machine: LeasedMachine): boolean {
@@ -352,7 +355,7 @@
 
   /** For the people on call: what the changes of the state service are spent on, once a period. */
   private logStore(): void {
-    const { log, clock, operator, store, census } = this;
+    const { log, clock, operator, store, jobIndex } = this;
     if (clock() - this.storeLoggedAt < operator.ladder.periodS * 1000) return;
     this.storeLoggedAt = clock();
     log.info({ event: 'store', ...store.takeCounts() }, 'changes of the state service');
@@ -363,7 +366,7 @@
       confirm: confirm.writableLength,
     };
     const heapMb = Math.round(process.memoryUsage().heapUsed / 2 ** 20);
-    log.info({ event: 'load', heapMb, queued, open: census.jobs.size }, 'memory and queues');
+    log.info({ event: 'load', heapMb, queued, open: jobIndex.jobs.size }, 'memory and queues');
   }
 
   private async followTypes(signal: AbortSignal): Promise<void> {
@@ -391,11 +394,11 @@
         watchRenewedAt = this.clock();
         store.renewWatch();
       }
-      this.tenancy.follow([]);
+      this.leases.follow([]);
       // What peers are told, our own leader has to hear as well.
-      for (const board of this.tenancy.boards()) {
-        this.noteUp(board.upSince(this.clock() - toldMs));
-        this.fleet?.noteGone(board.goneSince(this.clock() - toldMs));
+      for (const blockState of this.leases.blockStates()) {
+        this.noteUp(blockState.upSince(this.clock() - toldMs));
+        this.fleet?.noteGone(blockState.goneSince(this.clock() - toldMs));
       }
       this.shareStore();
       this.logStore();
--- a/src/fault-scenarios/cancels.test.ts
+++ b/src/fault-scenarios/cancels.test.ts
@@ -59,7 +59,7 @@
   },
 );
 
-// Guards against a controller that told its user and not its own board: the watch that was to bring it never came.
+// Guards against a controller that told its user and not its own block: the watch that was to bring it never came.
 scenario(
   'a controller confirms a cancel itself, and the state service is out before its watch has brought it',
   { port: 23_040, taskMs: long, capacity: 6 },
--- a/src/fault-scenarios/messages.test.ts
+++ b/src/fault-scenarios/messages.test.ts
@@ -12,7 +12,7 @@
 }
 
 // Guards against what a transaction brings back when it is carried out behind newer ones: an old page, an old lease, an old
-// dealing, an end or a job that its user was told nothing of.
+// dispatching, an end or a job that its user was told nothing of.
 for (const seed of [1, 2, 3]) {
   scenario(
     `transactions without an answer are carried out late, after newer ones (seed ${seed})`,
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -1,8 +1,8 @@
 /** The users' requests: submissions, questions and cancels, and the health check. */
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
-import type { LeanRoute, Reply, Route } from '../base/web.js';
-import type { Census } from '../placement/census.js';
+import type { LeanRoute, Reply, Route } from '../base/replies.js';
+import type { JobIndex } from '../placement/job-index.js';
 import { type JobStatus, isJobId, jobAnswer, jobDetails, jobIdIn, parseJob } from '../wire/jobs.js';
 import { JobCanceller } from './job-canceller.js';
 import { type JobStatusPorts, JobStatusReader, type JobStatusResult } from './job-status.js';
@@ -14,7 +14,7 @@
   log: Log;
   store: SubmissionPorts['store'] & JobStatusPorts['store'];
   isUp: () => boolean;
-  census: Pick<Census, 'progress'>;
+  jobIndex: Pick<JobIndex, 'progress'>;
 }
 
 const retrySoonS = 1;
@@ -89,7 +89,7 @@
         return { status: 200, body: jobDetails(id, result.end, done, 0) };
       }
       case 'open': {
-        const { done, active } = this.ports.census.progress(id);
+        const { done, active } = this.ports.jobIndex.progress(id);
         return { status: 200, body: jobDetails(id, this.statusNow(id), done, active) };
       }
       case 'never-accepted':
@@ -116,7 +116,7 @@
   private statusNow(id: string): JobStatus {
     const ended = this.statuses.knownEnd(id);
     if (ended) return ended.end;
-    return this.ports.census.progress(id).active > 0 ? 'running' : 'pending';
+    return this.ports.jobIndex.progress(id).active > 0 ? 'running' : 'pending';
   }
 
   /** Where another controller could have answered, the user is sent to it by ending the connection. */
--- a/src/intake/linearizability.test.ts
+++ b/src/intake/linearizability.test.ts
@@ -1,7 +1,7 @@
 /** What users are told rests on a state that the state service had after their very request had arrived. */
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
-import type { Reply } from '../base/web.js';
+import type { Reply } from '../base/replies.js';
 import { HeldStore, settled } from '../testing/held-store.js';
 import { UserSide } from '../testing/user-side.js';
 
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -1,7 +1,7 @@
 import { type JobSpec, type MachineType, type Resources, fits, withinLimit } from '../model/types.js';
-import { type Census, type CensusJob, needOf } from '../placement/census.js';
+import { type JobIndex, type IndexedJob, needOf } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
-import { Usage } from '../placement/plan.js';
+import { Usage } from '../placement/placement-round.js';
 import type { Team } from '../settings/settings.js';
 import type { LeasedMachine } from '../wire/records.js';
 import { type LadderShape, slotsOf, slotsPerMachine } from './ladder.js';
@@ -66,7 +66,7 @@
 }
 
 export interface DemandFacts {
-  census: Census;
+  jobIndex: JobIndex;
   order: OrderOfWork;
   /** The time of day. */
   now: number;
@@ -78,9 +78,9 @@
 
 /** Fills in each pool's counted slots: tasks on machines, and waiting ones that their team's limit admits. */
 export function countDemand(facts: DemandFacts): void {
-  const { pools, shape, census } = facts;
+  const { pools, shape, jobIndex } = facts;
   const usage = new Usage();
-  for (const { page, machine: id } of census.activeTasks()) {
+  for (const { page, machine: id } of jobIndex.activeTasks()) {
     usage.add(page.team, page);
     const machine = facts.machines.get(id);
     const pool = machine && pools.get(poolKey(machine.type, machine.spot));
@@ -88,12 +88,12 @@
   }
   // The order decides only who is admitted below a limit.
   const limited = [...facts.teams.values()].some((team) => team.cpusMax > 0 || team.acceleratorsMax > 0);
-  for (const job of limited ? census.inOrder(facts.order, facts.now) : census.jobs.values()) {
+  for (const job of limited ? jobIndex.inOrder(facts.order, facts.now) : jobIndex.jobs.values()) {
     const need = needOf(job.spec);
     let left = admitted(job, facts, usage);
     usage.add(job.spec.team, need, left);
     const choices = poolsFor(job.spec, pools.values());
-    for (const { block, count } of census.waiting(job)) {
+    for (const { block, count } of jobIndex.waiting(job)) {
       left -= spreadOver(choices, need, Math.min(left, count), block ?? -1, shape);
     }
   }
@@ -122,12 +122,12 @@
   return count;
 }
 
-function admitted(job: CensusJob, facts: DemandFacts, usage: Usage): number {
+function admitted(job: IndexedJob, facts: DemandFacts, usage: Usage): number {
   const { spec } = job;
   const team = facts.teams.get(spec.team);
   if (!team) return 0;
   const used = usage.of(team.name);
-  const { done, active } = facts.census.progress(job.id);
+  const { done, active } = facts.jobIndex.progress(job.id);
   let count = Math.max(0, spec.tasks - done - active);
   if (!withinLimit(used.cpus, spec.cpus * count, team.cpusMax))
     count = roomFor(team.cpusMax - used.cpus, spec.cpus);
--- a/src/ladder/failure-observer.ts
+++ b/src/ladder/failure-observer.ts
@@ -1,11 +1,11 @@
 /** Observation of task failures, which the tuning of thresholds counts. */
-import type { Census } from '../placement/census.js';
+import type { JobIndex } from '../placement/job-index.js';
 import { type Pool, poolKey, poolsFor } from './demand.js';
 import type { LeasedMachine } from '../wire/records.js';
 import type { Outcome } from './tuner.js';
 
 /**
- * Sees from the census which tasks failed in the paper's sense: they had to wait on arrival, or lost their machine.
+ * Sees from the job index which tasks failed in the paper's sense: they had to wait on arrival, or lost their machine.
  * Waiting for what the cloud refuses is no fault of the ladder's, so it does not count against it.
  */
 export class FailureObserver {
@@ -15,16 +15,16 @@
   constructor(private readonly patienceMs: number) {}
 
   observe(
-    census: Census,
+    jobIndex: JobIndex,
     pools: ReadonlyMap<string, Pool>,
     machines: ReadonlyMap<string, LeasedMachine>,
     now: number,
   ): { pool: string; outcome: Outcome }[] {
     const seen: { pool: string; outcome: Outcome }[] = [];
-    for (const job of census.jobs.values()) {
+    for (const job of jobIndex.jobs.values()) {
       if (now - job.seenAt < this.patienceMs) continue;
       const counted = this.judged.get(job.id);
-      const pages = [...census.entries(job.id)];
+      const pages = [...jobIndex.entries(job.id)];
       const displaced = pages.reduce((sum, page) => sum + page.waiting.length, 0);
       this.judged.set(job.id, displaced);
       const on = pages.flatMap((page) => page.active).map(([, , machine]) => machines.get(machine));
@@ -33,7 +33,7 @@
       const pool = choices.find((p) => !p.exhausted) ?? choices[0];
       const home = (used && pools.get(poolKey(used.type, used.spot))) ?? pool;
       if (!pool || !home) continue;
-      const waits = census.waiting(job).reduce((sum, waiting) => sum + waiting.count, 0);
+      const waits = jobIndex.waiting(job).reduce((sum, waiting) => sum + waiting.count, 0);
       const arrived = counted === undefined;
       const failed = arrived ? waits : Math.max(0, displaced - counted);
       if (!arrived && failed === 0) continue;
@@ -47,7 +47,7 @@
       };
       seen.push({ pool: target.key, outcome });
     }
-    for (const id of this.judged.keys()) if (!census.jobs.has(id)) this.judged.delete(id);
+    for (const id of this.judged.keys()) if (!jobIndex.jobs.has(id)) this.judged.delete(id);
     return seen;
   }
 }
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -5,7 +5,7 @@
 import { type CloudClient, releaseLimit, rentalLimit } from '../cloud/client.js';
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
-import type { Census } from '../placement/census.js';
+import type { JobIndex } from '../placement/job-index.js';
 import { lateClasses } from '../placement/lateness.js';
 import type { OrderOfWork } from '../placement/order.js';
 import type { OperatorSettings } from '../settings/operator.js';
@@ -28,7 +28,7 @@
   settings: Settings;
   operator: OperatorSettings;
   cloud: CloudClient;
-  census: Census;
+  jobIndex: JobIndex;
   order: OrderOfWork;
   mirror: Mirror;
   commits: CommitStage;
@@ -150,7 +150,7 @@
   }
 
   private async step(): Promise<void> {
-    const { types, settings, operator, clock, wallClock, census, order } = this.ports;
+    const { types, settings, operator, clock, wallClock, jobIndex, order } = this.ports;
     const now = clock();
     const machines = this.machines();
     for (const id of this.fresh.keys()) if (this.ports.leased().has(id)) this.fresh.delete(id);
@@ -161,7 +161,7 @@
       (type, spot) => type.zones.every((zone) => this.refusals.refused(type.name, zone, spot, now)),
     );
     countDemand({
-      census,
+      jobIndex,
       order,
       now: wallClock(),
       machines,
@@ -171,7 +171,7 @@
     });
     this.pools = pools;
     this.logPools(now);
-    for (const { pool, outcome } of this.failureObserver.observe(census, pools, machines, now)) {
+    for (const { pool, outcome } of this.failureObserver.observe(jobIndex, pools, machines, now)) {
       this.of(pool).tuner.add(outcome);
     }
     await this.tune(now);
@@ -241,8 +241,8 @@
   }
 
   private logLate(): void {
-    const { log, census, settings, wallClock } = this.ports;
-    const jobs = [...census.jobs.values()].map((job) => census.queued(job));
+    const { log, jobIndex, settings, wallClock } = this.ports;
+    const jobs = [...jobIndex.jobs.values()].map((job) => jobIndex.queued(job));
     const classes = lateClasses(settings.objectives, jobs, wallClock());
     if (classes.length > 0) log.info({ event: 'late', classes }, 'classes run late');
   }
@@ -307,8 +307,8 @@
   /** Empty machines if there are any, else the least loaded are drained. */
   private giveBack(pool: Pool, count: number): void {
     if (count === 0) return;
-    const { wallClock, census, operator } = this.ports;
-    const loads = census.loads();
+    const { wallClock, jobIndex, operator } = this.ports;
+    const loads = jobIndex.loads();
     const loadOf = (machine: LeasedMachine): number => {
       const load = loads.get(machine.id);
       return load ? slotsOf(load, pool.type, operator.ladder) : 0;
@@ -322,14 +322,14 @@
 
   /**
    * Releases unwanted machines once they are empty. A block's owner places nothing on a machine that its record calls
-   * leaving; what it had committed before that record is in the census by the time the record is.
+   * leaving; what it had committed before that record is in the job index by the time the record is.
    */
   private async keepReleasing(): Promise<void> {
-    const { cloud, term, log, census } = this.ports;
+    const { cloud, term, log, jobIndex } = this.ports;
     while (!term.signal.aborted) {
       await sleep(this.tickMs / 2, term.signal);
       if (!this.ports.inTouch()) continue;
-      const busy = census.loads();
+      const busy = jobIndex.loads();
       const leased = this.ports.leased();
       const due = [...this.unwanted, ...this.lost].filter((id) => {
         const record = leased.get(id);
--- a/src/ladder/listing.ts
+++ b/src/ladder/listing.ts
@@ -19,7 +19,7 @@
    * it is missing from when it was first expected.
    */
   missing(now: number, listed: Iterable<string>, expected: Iterable<string>): string[] {
-    // After a standstill of ours, or an outage of the cloud, the last list is too old for a machine to be missed by it.
+    // After a pause of this process, or an outage of the cloud, the last list is too old for a machine to be missed by it.
     if (now - this.listedAt > this.lagMs * mostLags) {
       for (const id of this.lastSeen.keys()) this.lastSeen.set(id, now);
     }
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -20,9 +20,9 @@
 import { JobState, type JobFacts, type Task } from './job-state.js';
 import { Ledger } from './ledger.js';
 import { OrderOfWork, type Queued } from './order.js';
-import { Usage } from './plan.js';
+import { Usage } from './placement-round.js';
 
-export interface BoardOptions {
+export interface BlockStateOptions {
   block: number;
   valueBytes: number;
   /** How large a page of the ledger may be; a value of the store where this is not given. */
@@ -44,7 +44,7 @@
 const gonesKept = 2000;
 
 /** All that a block's owner knows of its jobs and machines, rebuilt from the store when the lease begins. */
-export class Board {
+export class BlockState {
   /** The jobs of which this block has tasks. */
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
@@ -59,7 +59,7 @@
   private blockVersion = 0;
   private shares: Shares = {};
 
-  constructor(private readonly options: BoardOptions) {
+  constructor(private readonly options: BlockStateOptions) {
     this.order = options.order ?? new OrderOfWork([]);
     this.ledger = new Ledger(options.pageBytes ?? options.valueBytes);
   }
@@ -162,7 +162,7 @@
     return [...this.gone].filter(([, at]) => at >= time).map(([id]) => id);
   }
 
-  /** What was first heard of since then, for all who deal tasks to blocks. */
+  /** What was first heard of since then, for all who dispatch tasks to blocks. */
   upSince(time: number): string[] {
     return [...this.machines.values()].filter((m) => m.seen && m.seenAt >= time).map((m) => m.id);
   }
--- a/src/placement/job-index.ts
+++ b/src/placement/job-index.ts
@@ -12,12 +12,12 @@
 import type { OrderOfWork, Queued } from './order.js';
 
 /** What a block has on record of a job. */
-export interface CensusEntry extends LedgerEntry {
+export interface IndexedEntry extends LedgerEntry {
   block: number;
   doneCount: number;
 }
 
-export interface CensusJob extends JobRecord {
+export interface IndexedJob extends JobRecord {
   id: string;
   version: number;
   /** When this controller first saw it, by its own clock. */
@@ -25,11 +25,11 @@
 }
 
 /** All open jobs and all tasks on machines, as the store has them: the same on every controller, a moment late. */
-export class Census {
-  readonly jobs = new Map<string, CensusJob>();
-  private readonly pages = new Map<string, CensusEntry[]>();
+export class JobIndex {
+  readonly jobs = new Map<string, IndexedJob>();
+  private readonly pages = new Map<string, IndexedEntry[]>();
   /** Entries by job; those of an ended job stay until its tasks have left their machines. */
-  private readonly byJob = new Map<string, Set<CensusEntry>>();
+  private readonly byJob = new Map<string, Set<IndexedEntry>>();
   private loadsNow: Map<string, Resources> | undefined;
   /** Pages that have changed since anybody asked: of several versions only the last has to be read. */
   private readonly unread = new Map<string, unknown>();
@@ -54,12 +54,12 @@
     }
   }
 
-  entries(id: string): Iterable<CensusEntry> {
+  entries(id: string): Iterable<IndexedEntry> {
     this.read();
     return this.byJob.get(id) ?? [];
   }
 
-  *activeTasks(): Iterable<{ id: string; page: CensusEntry; machine: string }> {
+  *activeTasks(): Iterable<{ id: string; page: IndexedEntry; machine: string }> {
     this.read();
     for (const entries of this.pages.values()) {
       for (const page of entries)
@@ -98,26 +98,26 @@
   }
 
   /** Open jobs in the order of work, or those of them that are given. */
-  inOrder(order: OrderOfWork, now: number, jobs: Iterable<CensusJob> = this.jobs.values()): CensusJob[] {
+  inOrder(order: OrderOfWork, now: number, jobs: Iterable<IndexedJob> = this.jobs.values()): IndexedJob[] {
     return order.sorted(jobs, (job) => this.queued(job), now);
   }
 
-  queued({ id, spec }: CensusJob): Queued {
+  queued({ id, spec }: IndexedJob): Queued {
     const { done, active } = this.progress(id);
     return { spec, waiting: spec.tasks - done - active, started: done + active > 0 };
   }
 
-  /** Waiting tasks of the job by block; those that are not dealt yet belong to none. */
-  waiting(job: CensusJob): { block: number | undefined; count: number }[] {
-    const dealt = new Map<number, number>();
-    let undealt = job.spec.tasks;
+  /** Waiting tasks of the job by block; those that are not dispatched yet belong to none. */
+  waiting(job: IndexedJob): { block: number | undefined; count: number }[] {
+    const dispatched = new Map<number, number>();
+    let undispatched = job.spec.tasks;
     for (const { block, count } of job.parts) {
-      dealt.set(block, (dealt.get(block) ?? 0) + count);
-      undealt -= count;
+      dispatched.set(block, (dispatched.get(block) ?? 0) + count);
+      undispatched -= count;
     }
     const waiting: { block: number | undefined; count: number }[] = [];
-    if (undealt > 0) waiting.push({ block: undefined, count: undealt });
-    for (const [block, count] of dealt) {
+    if (undispatched > 0) waiting.push({ block: undefined, count: undispatched });
+    for (const [block, count] of dispatched) {
       const { done, active } = this.progress(job.id, block);
       if (count > done + active) waiting.push({ block, count: count - done - active });
     }
@@ -146,7 +146,7 @@
     this.unread.clear();
   }
 
-  private setPage(key: string, entries: CensusEntry[]): void {
+  private setPage(key: string, entries: IndexedEntry[]): void {
     this.loadsNow = undefined;
     for (const old of this.pages.get(key) ?? []) {
       const ofJob = this.byJob.get(old.id);
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -37,7 +37,7 @@
 }
 
 /**
- * What one block has of a job: for most jobs all its tasks, else the ranges that the leader has dealt to it. Tasks
+ * What one block has of a job: for most jobs all its tasks, else the ranges that the leader has dispatched to it. Tasks
  * that never started exist only as numbers, so 100,000 of them cost little.
  */
 export class JobState {
--- a/src/placement/placement-round.ts
+++ b/src/placement/placement-round.ts
@@ -64,13 +64,13 @@
   }
 }
 
-interface Room {
+interface Capacity {
   machine: MachineState;
   free: Resources;
 }
 
 /** First-fit: each waiting task, in the order of work, goes to the first machine that has room for it. */
-export function plan(facts: PlanFacts): Choice[] {
+export function placeTasks(facts: PlanFacts): Choice[] {
   const choices: Choice[] = [];
   const waiting = facts.jobs
     .filter(
@@ -116,12 +116,12 @@
     let left = job.waiting;
     let at = 0;
     while (left > 0 && choices.length < facts.most && usage.admits(team, job.need)) {
-      const suits = ({ machine, free }: Room): boolean =>
+      const suits = ({ machine, free }: Capacity): boolean =>
         fits(job.need, free) &&
         (!spec.spread || inZone(zones, machine.place.zone) < half) &&
         (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone));
       // What does not suit one task of the job does not suit its next: nothing frees up within a round.
-      while (at < candidates.length && !suits(candidates[at] as Room)) at++;
+      while (at < candidates.length && !suits(candidates[at] as Capacity)) at++;
       const room = candidates[at];
       const task = room && job.next();
       if (!room || !task) break;
@@ -140,7 +140,7 @@
 }
 
 /** A machine that has the image need not fetch it; one whose answer is held hears of the task at once. */
-function quickestFirst<R extends Room>(rooms: R[], image: string): R[] {
+function quickestFirst<R extends Capacity>(rooms: R[], image: string): R[] {
   const ranked: R[][] = [[], [], [], []];
   for (const room of rooms) {
     const { images, wake } = room.machine;
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -9,10 +9,10 @@
 import { ledgerPage, tasksPerChunk } from '../wire/records.js';
 import { MachineState } from '../workers/machine-state.js';
 import { stragglers } from '../workers/slowness.js';
-import { Board } from './board.js';
+import { BlockState } from './block-state.js';
 import { JobState } from './job-state.js';
 import { Ledger, snapshot } from './ledger.js';
-import { Usage, plan } from './plan.js';
+import { Usage, placeTasks } from './placement-round.js';
 
 function jobIn(ledger: Ledger, id: string, tasks: number): JobState {
   const job = JobState.of(jobSpec(id, tasks), 1, { block: 0, ledger, perChunk: tasksPerChunk(valueBytes) });
@@ -89,7 +89,7 @@
     const facts = { now: 0, jobs: [job], machines, types, most: 9, usable: () => true };
     const usage = (): Usage => new Usage();
     const cheap = new Set(machines.some((m) => m.place.spot) ? ['c8'] : []);
-    const choices = plan({
+    const choices = placeTasks({
       ...facts,
       usage,
       cheap,
@@ -123,11 +123,11 @@
 // Guards against a start that no commit speaks of: the machine went while its intent was on the way.
 test('a commit confirms the attempt that it was made for, and no later one', async () => {
   let commits = 0;
-  const stage = createBlockStage((_conditions, { board, scheduler }) => {
+  const stage = createBlockStage((_conditions, { blockState, scheduler }) => {
     if (commits++ === 0) {
-      board.remove('m1');
-      const other = board.machines.get('m2') as MachineState;
-      board.report(other, { ...emptyReport('m2', 1), token: 7 }, true);
+      blockState.remove('m1');
+      const other = blockState.machines.get('m2') as MachineState;
+      blockState.report(other, { ...emptyReport('m2', 1), token: 7 }, true);
       scheduler.placeNow(other);
       assert.deepEqual([stage.task()?.machine, stage.task()?.phase], ['m2', 'placing']);
       return { kind: 'applied', revision: 8 };
@@ -150,8 +150,8 @@
   });
   await stage.place('m1');
   const done = { job: 'req-1', index: 0, attempt: 1, state: 'ended' as const, cause: 'done' };
-  const machine = stage.board.machines.get('m1') as MachineState;
-  stage.board.report(machine, { ...emptyReport('m1', machine.seq + 1), token: 7, tasks: [done] }, true);
+  const machine = stage.blockState.machines.get('m1') as MachineState;
+  stage.blockState.report(machine, { ...emptyReport('m1', machine.seq + 1), token: 7, tasks: [done] }, true);
   void stage.scheduler.run();
   for (let i = 0; i < 100 && ends.length === 0; i++) await new Promise((resolve) => setTimeout(resolve, 20));
   stage.stop.abort();
@@ -161,15 +161,24 @@
 // Its reports arrive, so it is never silent, while answers and commands do not reach it.
 test('a machine that is told and told again without doing it counts as deaf; one that does as told does not', () => {
   let now = 0;
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now, teams: new Map() });
+  const blockState = new BlockState({
+    block: 0,
+    valueBytes,
+    reportMs: 1000,
+    clock: () => now,
+    teams: new Map(),
+  });
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
-  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
-  const machine = board.machines.get('m1') as MachineState;
+  blockState.applyBlock(
+    { owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] },
+    7,
+  );
+  const machine = blockState.machines.get('m1') as MachineState;
   const hear = (seq: number, token: number, states: Record<string, 'running'> = {}): string => {
     const tasks = Object.entries(states).map(([index, state]) => ({
       ...{ job: 'req-1', index: Number(index), attempt: 1, state, cause: '' },
     }));
-    return board.report(machine, { ...emptyReport('m1', seq), token, tasks }, true).verdict;
+    return blockState.report(machine, { ...emptyReport('m1', seq), token, tasks }, true).verdict;
   };
   // Our token never comes back.
   assert.equal(hear(1, 3), 'unreconciled');
@@ -178,13 +187,13 @@
   assert.equal(hear(2, 7), 'reconciled');
   assert.equal(machine.deafSince(), undefined);
   // A start that was ordered and does not show.
-  const job = JobState.of(jobSpec('req-1', 1), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
+  const job = JobState.of(jobSpec('req-1', 1), 1, { block: 0, ledger: blockState.ledger, perChunk: 100 });
   job.assignRanges([{ block: 0, first: 0, count: 1 }], 1);
-  board.jobs.set('req-1', job);
+  blockState.jobs.set('req-1', job);
   placeAll(job, 'm1');
   const task = job.tasks.get(0);
   assert.ok(task);
-  board.put(task, machine);
+  blockState.put(task, machine);
   task.phase = 'placed';
   assert.equal(machine.deafSince(), undefined);
   task.orderedAt = now = 500;
@@ -192,7 +201,7 @@
   assert.equal(machine.deafSince(), 500);
   // Its task and its place in the team's usage stay until there is evidence.
   assert.deepEqual(
-    [machine.tasks.has(taskKey({ job: 'req-1', index: 0 })), board.usage().of('red').cpus],
+    [machine.tasks.has(taskKey({ job: 'req-1', index: 0 })), blockState.usage().of('red').cpus],
     [true, 2],
   );
   hear(4, 7, { 0: 'running' });
@@ -202,23 +211,32 @@
 // Guards against a job that waits minutes for its last task on a machine that is many times slower than its kind.
 test('a task that runs several times as long as its like is stopped, and its machine gets no more', () => {
   let now = 0;
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => now, teams: new Map() });
+  const blockState = new BlockState({
+    block: 0,
+    valueBytes,
+    reportMs: 1000,
+    clock: () => now,
+    teams: new Map(),
+  });
   const leased = { type: 'c8', zone: 'a', spot: false, leaving: false, since: 0 };
-  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] }, 7);
-  const machine = board.machines.get('m1') as MachineState;
-  const job = JobState.of(jobSpec('req-1', 4), 1, { block: 0, ledger: board.ledger, perChunk: 100 });
+  blockState.applyBlock(
+    { owner: 'k', boot: 'b', shares: {}, machines: [{ id: 'm1', token: 7, ...leased }] },
+    7,
+  );
+  const machine = blockState.machines.get('m1') as MachineState;
+  const job = JobState.of(jobSpec('req-1', 4), 1, { block: 0, ledger: blockState.ledger, perChunk: 100 });
   job.assignRanges([{ block: 0, first: 0, count: 4 }], 1);
-  board.jobs.set('req-1', job);
+  blockState.jobs.set('req-1', job);
   placeAll(job, 'm1');
   for (const task of job.tasks.values()) {
     task.phase = 'placed';
-    board.put(task, machine);
+    blockState.put(task, machine);
   }
   const hear = (seq: number, states: TaskState[]): Order[] => {
     const tasks = states.map((state, index) => ({
       ...{ job: 'req-1', index, attempt: 1, state, cause: state === 'ended' ? 'done' : '' },
     }));
-    return board.report(machine, { ...emptyReport('m1', seq), token: 7, tasks }, true).orders;
+    return blockState.report(machine, { ...emptyReport('m1', seq), token: 7, tasks }, true).orders;
   };
   hear(1, ['running', 'running', 'running', 'running']);
   now = 12_000;
@@ -235,9 +253,9 @@
   );
 });
 
-// Guards against a round that walked the board's machines twice though their iterator is spent after the first time: it saw
+// Guards against a round that walked the block's machines twice though their iterator is spent after the first time: it saw
 // no task of the job anywhere, and what was bound to the zone of its others started in any.
-test('a round over the machines of a board heeds the zones of tasks that are there already', () => {
+test('a round over the machines of a blockState heeds the zones of tasks that are there already', () => {
   const places = (change: Partial<JobSpec>, on: string[]): string[] => {
     const job = JobState.of({ ...jobSpec('req-1', 4), ...change }, 1, {
       ...{ block: 0, ledger: new Ledger(valueBytes), perChunk: tasksPerChunk(valueBytes) },
@@ -256,7 +274,7 @@
       job.place(task, id, 0);
       machines.get(id)?.tasks.set(taskKey({ job: job.id, index: task.index }), task);
     }
-    const choices = plan({
+    const choices = placeTasks({
       ...{
         now: 0,
         jobs: [job],
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -9,11 +9,11 @@
 import { blockKey, endKey, endRecord, jobKey, ledgerKey, ledgerPage } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../workers/machine-state.js';
-import type { Board } from './board.js';
-import type { Census } from './census.js';
+import type { BlockState } from './block-state.js';
+import type { JobIndex } from './job-index.js';
 import type { JobState, Task } from './job-state.js';
 import { type LedgerPage, type PageSnapshot, snapshot } from './ledger.js';
-import { plan } from './plan.js';
+import { placeTasks } from './placement-round.js';
 
 export interface SchedulerPorts {
   clock: Clock;
@@ -21,10 +21,10 @@
   settings: Settings;
   store: StoreClient;
   commits: CommitStage;
-  board: Board;
+  blockState: BlockState;
   /** Ends with the lease of the block. */
   signal: AbortSignal;
-  census: Census;
+  jobIndex: JobIndex;
   types: () => ReadonlyMap<string, MachineType>;
 }
 
@@ -42,7 +42,7 @@
 /** Jobs that one commit of a page places tasks of, likewise: half of the conditions that a transaction can hold. */
 const jobsPerCommit = 2;
 
-/** Places waiting tasks and keeps the store in step with the board, intents first. */
+/** Places waiting tasks and keeps the store in step with the state of the block, intents first. */
 export class Scheduler {
   private wanted = true;
   /** Set while the rounds rest: something that presses calls it. */
@@ -71,11 +71,11 @@
 
   /** A round at once for one machine, whose answer can carry its starts. */
   placeNow(machine: MachineState): void {
-    const { signal, store, board } = this.ports;
+    const { signal, store, blockState } = this.ports;
     if (signal.aborted || store.failing) return;
-    if (board.waitingJobs().length > 0 && this.hasRoom(machine)) this.place([machine]);
+    if (blockState.waitingJobs().length > 0 && this.hasRoom(machine)) this.place([machine]);
     // What the report said is written down once it is due; most reports say nothing new.
-    if (board.ledger.isSoiled) this.persist();
+    if (blockState.ledger.isSoiled) this.persist();
   }
 
   /** There is room on the machine, and it may be used. */
@@ -119,7 +119,7 @@
   }
 
   async run(): Promise<void> {
-    const { signal, store, board, settings, clock } = this.ports;
+    const { signal, store, blockState, settings, clock } = this.ports;
     const restMs = settings.reportMs / roundsPerReport;
     let placedAt = -Infinity;
     while (!signal.aborted) {
@@ -129,7 +129,7 @@
       if ((this.wanted || clock() - placedAt >= restMs) && !store.failing) {
         this.wanted = false;
         placedAt = clock();
-        if (board.waitingJobs().length > 0) this.place();
+        if (blockState.waitingJobs().length > 0) this.place();
       }
       this.endJobs();
       this.persist();
@@ -138,10 +138,10 @@
 
   /** Until the next round is due: sooner where intents wait for their turn, or completions are being gathered. */
   private due(restMs: number): number {
-    const { board, store } = this.ports;
+    const { blockState, store } = this.ports;
     const waitMs = Math.max(tickMs, store.writeWaitMs('duty'));
-    if (board.ledger.presses && !store.failing) return Math.min(restMs, waitMs);
-    return board.ledger.isSoiled ? Math.min(restMs, this.gatherMs / 2) : restMs;
+    if (blockState.ledger.presses && !store.failing) return Math.min(restMs, waitMs);
+    return blockState.ledger.isSoiled ? Math.min(restMs, this.gatherMs / 2) : restMs;
   }
 
   private async rest(ms: number): Promise<void> {
@@ -157,25 +157,25 @@
   }
 
   private place(machines?: MachineState[]): void {
-    const { board, clock, settings, types } = this.ports;
+    const { blockState, clock, settings, types } = this.ports;
     if (!machines) this.cheap = this.cheapTypes();
-    const choices = plan({
+    const choices = placeTasks({
       now: clock(),
-      jobs: board.waitingJobs(),
-      machines: machines ?? board.machines.values(),
+      jobs: blockState.waitingJobs(),
+      machines: machines ?? blockState.machines.values(),
       cheap: this.cheap,
       partial: machines !== undefined,
       types: types(),
-      team: (name) => board.shareOf(name),
-      usage: () => board.usage(),
+      team: (name) => blockState.shareOf(name),
+      usage: () => blockState.usage(),
       most: settings.state.txnOps * roundTransactions,
       usable: (machine) => this.usable(machine),
     });
-    for (const { task, machine } of choices) board.put(task, machine);
+    for (const { task, machine } of choices) blockState.put(task, machine);
   }
 
   private cheapTypes(): Set<string> {
-    const cheap = [...this.ports.board.machines.values()].filter((m) => m.place.spot && this.usable(m));
+    const cheap = [...this.ports.blockState.machines.values()].filter((m) => m.place.spot && this.usable(m));
     return new Set(cheap.map((machine) => machine.place.type));
   }
 
@@ -184,14 +184,14 @@
    * turned down by then. Nor can anything be committed while the store knows the block under another version.
    */
   private mayCommit(): boolean {
-    const { board, store } = this.ports;
-    return board.version !== this.rejectedVersion && store.writeWaitMs('duty') === 0;
+    const { blockState, store } = this.ports;
+    return blockState.version !== this.rejectedVersion && store.writeWaitMs('duty') === 0;
   }
 
   private persist(): void {
-    const { board, commits, clock } = this.ports;
+    const { blockState, commits, clock } = this.ports;
     if (!this.mayCommit()) return;
-    for (const page of board.ledger.pages.values()) {
+    for (const page of blockState.ledger.pages.values()) {
       if (commits.full) return;
       const due = page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > this.gatherMs);
       if (due && !page.busy) page.commit = this.commitPage(page);
@@ -199,14 +199,14 @@
   }
 
   private endJobs(): void {
-    const { board, commits, clock } = this.ports;
+    const { blockState, commits, clock } = this.ports;
     if (!this.mayCommit()) return;
-    for (const job of board.jobs.values()) {
+    for (const job of blockState.jobs.values()) {
       if (job.ending) continue;
       if (job.ended) {
         if (job.active > 0) continue;
         job.leaveLedger(clock());
-        board.jobs.delete(job.id);
+        blockState.jobs.delete(job.id);
       } else if (this.ending < this.mostEnding && !commits.full && job.complete && this.othersComplete(job)) {
         void this.commitDone(job);
       }
@@ -218,21 +218,21 @@
     if (job.whole) return true;
     // One owner asks: rivals would only spend writes on conflicts.
     if (!job.first || !job.completeCommitted || !job.spec) return false;
-    return this.ports.census.progress(job.id).done === job.spec.tasks;
+    return this.ports.jobIndex.progress(job.id).done === job.spec.tasks;
   }
 
   private get block(): Condition {
-    return { key: blockKey(this.ports.board.block), version: this.ports.board.version };
+    return { key: blockKey(this.ports.blockState.block), version: this.ports.blockState.version };
   }
 
   /** Intent before action: only what this commit has confirmed may be sent to a machine. */
   private async commitPage(page: LedgerPage): Promise<void> {
-    const { board, commits, settings } = this.ports;
+    const { blockState, commits, settings } = this.ports;
     const { block } = this;
-    const key = ledgerKey(board.block, page.index);
+    const key = ledgerKey(blockState.block, page.index);
     page.busy = true;
     page.dirt = 'clean';
-    const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => board.takeOff(task));
+    const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => blockState.takeOff(task));
     // A job's record goes with its end, so its version says that the job is open, and placed as we know it.
     const jobs = new Map(shot.placing.map(({ job }) => [job, job.version]));
     const attempts = new Map(shot.placing.map((task) => [task, task.attempt]));
@@ -249,7 +249,7 @@
         // Its machine may have gone meanwhile, and another been chosen, which this commit knows nothing of.
         if (task.phase !== 'placing' || task.attempt !== attempts.get(task)) continue;
         task.phase = 'placed';
-        board.machines.get(task.machine)?.wake?.();
+        blockState.machines.get(task.machine)?.wake?.();
       }
       for (const { job, indices } of shot.done) job.commitDone(indices);
     } else await this.recover(page, shot, outcome, { block, key, jobs });
@@ -263,15 +263,15 @@
     outcome: CommitOutcome,
     at: { block: Condition; key: string; jobs: ReadonlyMap<JobState, number> },
   ): Promise<void> {
-    const { board, clock } = this.ports;
+    const { blockState, clock } = this.ports;
     for (const chunk of page.chunks) chunk.entry = undefined;
     if (outcome.kind === 'conflict') {
       for (const task of shot.placing) {
-        // Ended, or dealt anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
+        // Ended, or dispatched anew by the leader: the watch will tell. Nothing of these intents was sent to anybody.
         if (!outcome.failed.includes(jobKey(task.job.id))) continue;
         // The version that was turned down: the watch may have brought its successor by now.
         task.job.rejected = at.jobs.get(task.job) ?? -1;
-        if (task.phase === 'placing') board.takeOff(task);
+        if (task.phase === 'placing') blockState.takeOff(task);
       }
     }
     page.soil(shot.placing.some((task) => task.phase === 'placing') ? 'now' : 'soon', clock());
@@ -283,7 +283,7 @@
    * ends which wait for their turn would be turned down again and again.
    */
   private async commitDone(job: JobState): Promise<void> {
-    const { commits, board, settings, signal } = this.ports;
+    const { commits, blockState, settings, signal } = this.ports;
     job.ending = true;
     this.ending++;
     const outcome = await commits.commit(
@@ -296,7 +296,7 @@
         { drop: jobKey(job.id) },
       ],
     );
-    if (outcome.kind === 'applied') board.endJob(job, 'done');
+    if (outcome.kind === 'applied') blockState.endJob(job, 'done');
     this.ending--;
     // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
     if (outcome.kind !== 'applied') await sleep(settings.reportMs / 4, signal);
--- a/src/store/adaptive-share.ts
+++ b/src/store/adaptive-share.ts
@@ -1,6 +1,7 @@
 /** Adaptive part of a controller's share of the state service's write limit. */
+
 /** How fast a share grows while it is too small, and shrinks while it is not, and how large it may get. */
-const growth = { aSecond: 0.5, back: 0.1, most: 4 };
+const growth = { perSecond: 0.5, decayPerSecond: 0.1, maxFactor: 4 };
 
 /**
  * How far a controller goes beyond its even share of the store's limits. The others seldom need all of theirs at the same
@@ -24,8 +25,8 @@
     const passedS = Math.min(1, (now - this.at) / 1000);
     const before = this.value;
     if (outcome.refused) this.value = Math.max(1, this.value / 2);
-    else if (outcome.waited) this.value = Math.min(growth.most, this.value + growth.aSecond * passedS);
-    else this.value = Math.max(1, this.value - growth.back * passedS);
+    else if (outcome.waited) this.value = Math.min(growth.maxFactor, this.value + growth.perSecond * passedS);
+    else this.value = Math.max(1, this.value - growth.decayPerSecond * passedS);
     this.at = now;
     return this.value !== before;
   }
--- a/src/store/freshness.ts
+++ b/src/store/freshness.ts
@@ -1,4 +1,5 @@
 /** Freshness bound of the replica of the state service. */
+
 /** Answers whose changes the copy lacks are remembered up to so many; leaving one out only makes us more careful. */
 const mostPending = 64;
 
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -73,7 +73,7 @@
 });
 
 test('listeners hear of an end that this controller has committed itself', async () => {
-  // The board of a block once missed such an end, and a cancelled task ran on.
+  // The owner of a block once missed such an end, and a cancelled task ran on.
   const stop = new AbortController();
   const end: Change = { key: 'end/req-1', value: { end: 'cancelled', tasks: 1 }, version: 7, deleted: false };
   let asked = 0;
@@ -139,7 +139,7 @@
   assert.deepEqual(heard, ['+job/b', '-job/a']);
 });
 
-// Guards against an accepted job that is taken for ended: the board of its block gave it up, and it never ran.
+// Guards against an accepted job that is taken for ended: the owner of its block gave it up, and it never ran.
 test('what this controller commits while the keys are read anew is not taken for deleted', async () => {
   const listed = { revision: 9, items: [{ key: 'job/a', value: 1, version: 3 }] };
   let whileListing: () => void = () => undefined;
--- a/src/testing/block-stage.ts
+++ b/src/testing/block-stage.ts
@@ -1,8 +1,8 @@
-/** One block under test: a board and a scheduler whose commits are answered by the test. */
+/** One block under test: the state of a block and a scheduler whose commits are answered by the test. */
 import { silentLog } from '../base/log.js';
 import type { JobSpec, Report } from '../model/types.js';
-import { Board } from '../placement/board.js';
-import { Census } from '../placement/census.js';
+import { BlockState } from '../placement/block-state.js';
+import { JobIndex } from '../placement/job-index.js';
 import type { Task } from '../placement/job-state.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
@@ -36,7 +36,7 @@
 }
 
 export interface BlockStage {
-  board: Board;
+  blockState: BlockState;
   scheduler: Scheduler;
   /** Writes the job's record with this version. */
   putJob: (version: number) => void;
@@ -61,7 +61,13 @@
   { team = 'blue', tasks = 1, shares = {} }: BlockStageOptions = {},
 ): BlockStage {
   const settings = testSettings();
-  const board = new Board({ block: 0, valueBytes, reportMs: 1000, clock: () => 0, teams: settings.teams });
+  const blockState = new BlockState({
+    block: 0,
+    valueBytes,
+    reportMs: 1000,
+    clock: () => 0,
+    teams: settings.teams,
+  });
   const stop = new AbortController();
   const commits = {
     full: false,
@@ -70,15 +76,16 @@
   const scheduler = new Scheduler({
     ...{ clock: () => 0, log: silentLog, settings, signal: stop.signal },
     store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
-    ...{ commits, board, census: new Census(() => 0) },
+    ...{ commits, blockState, jobIndex: new JobIndex(() => 0) },
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
   const record = { spec: { ...jobSpec(jobId, tasks), team }, parts: [[0, 0, tasks]] };
   const stage: BlockStage = {
-    ...{ board, scheduler, stop },
-    putJob: (version) => void board.apply([{ key: `job/${jobId}`, value: record, version, deleted: false }]),
+    ...{ blockState, scheduler, stop },
+    putJob: (version) =>
+      void blockState.apply([{ key: `job/${jobId}`, value: record, version, deleted: false }]),
     putBlock: (version, change) =>
-      board.applyBlock(
+      blockState.applyBlock(
         {
           owner: 'k',
           boot: 'b',
@@ -88,12 +95,12 @@
         version,
       ),
     place: async (id) => {
-      const machine = board.machines.get(id) as MachineState;
-      board.report(machine, { ...emptyReport(id, machine.seq + 1), token: machineToken }, true);
+      const machine = blockState.machines.get(id) as MachineState;
+      blockState.report(machine, { ...emptyReport(id, machine.seq + 1), token: machineToken }, true);
       scheduler.placeNow(machine);
       await new Promise((resolve) => setImmediate(resolve));
     },
-    task: (index = 0) => board.jobs.get(jobId)?.tasks.get(index),
+    task: (index = 0) => blockState.jobs.get(jobId)?.tasks.get(index),
   };
   stage.putBlock(firstBlockVersion, {});
   stage.putJob(3);
--- a/src/testing/traces.ts
+++ b/src/testing/traces.ts
@@ -1,10 +1,10 @@
 import { readFileSync } from 'node:fs';
 import type { JobSpec, ReportedTask } from '../model/types.js';
-import { Board } from '../placement/board.js';
+import { BlockState } from '../placement/block-state.js';
 import type { Part } from '../wire/records.js';
 
 /**
- * Runs a kept trace against a block's board. A line is an event; a line that starts with `=` is what must come of the
+ * Runs a kept trace against a block. A line is an event; a line that starts with `=` is what must come of the
  * event before it. `#` starts a comment. Events:
  *
  *     block 5 m1:10 m2:10!           the block's record at version 5: machines with tokens, `!` is leaving
@@ -16,7 +16,7 @@
  *     gone m1                        the cloud has proven the machine gone
  */
 export function runTrace(path: string): { expected: string[]; actual: string[] } {
-  const board = new Board({
+  const blockState = new BlockState({
     block: 0,
     valueBytes: 32 * 1024,
     reportMs: 1000,
@@ -34,17 +34,17 @@
       continue;
     }
     now += 100;
-    actual.push(...play(board, line.split(/\s+/), now));
+    actual.push(...play(blockState, line.split(/\s+/), now));
   }
   return { expected, actual };
 }
 
-function play(board: Board, [event = '', subject = '', ...rest]: string[], now: number): string[] {
+function play(blockState: BlockState, [event = '', subject = '', ...rest]: string[], now: number): string[] {
   switch (event) {
     case 'block':
-      return block(board, Number(subject), rest);
+      return block(blockState, Number(subject), rest);
     case 'job':
-      return job(board, subject, Number(rest[0]?.slice(1)), rest.slice(1));
+      return job(blockState, subject, Number(rest[0]?.slice(1)), rest.slice(1));
     case 'end': {
       const change = {
         key: `end/${subject}`,
@@ -52,59 +52,59 @@
         version: now,
         deleted: false,
       };
-      board.apply([change]);
+      blockState.apply([change]);
       return [];
     }
     case 'place':
-      return place(board, subject, rest[0] ?? '', now);
+      return place(blockState, subject, rest[0] ?? '', now);
     case 'commit':
-      for (const task of board.jobs.get(subject)?.tasks.values() ?? []) {
+      for (const task of blockState.jobs.get(subject)?.tasks.values() ?? []) {
         if (task.phase === 'placing') task.phase = 'placed';
       }
       return [];
     case 'gone':
-      return board.remove(subject).map((task) => `waits ${task.job.id}/${task.index}`);
+      return blockState.remove(subject).map((task) => `waits ${task.job.id}/${task.index}`);
     case 'report':
-      return report(board, subject, rest);
+      return report(blockState, subject, rest);
     default:
       throw new Error(`no such event: ${event}`);
   }
 }
 
-function block(board: Board, version: number, machines: string[]): string[] {
+function block(blockState: BlockState, version: number, machines: string[]): string[] {
   const leased = machines.map((word) => {
     const [id = '', token] = word.replace('!', '').split(':');
     const place = { type: 'c8', zone: 'a', spot: false, since: 0 };
     return { id, token: Number(token), leaving: word.endsWith('!'), ...place };
   });
-  board.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: leased }, version);
+  blockState.applyBlock({ owner: 'k', boot: 'b', shares: {}, machines: leased }, version);
   return [];
 }
 
-function job(board: Board, id: string, version: number, ranges: string[]): string[] {
+function job(blockState: BlockState, id: string, version: number, ranges: string[]): string[] {
   const parts: Part[] = ranges.map((range) => {
     const [first = 0, last = 0] = range.split('..').map(Number);
     return { block: 0, first, count: last - first + 1 };
   });
   const spec = { id, team: 'red', tasks: 10, cpus: 1, accelerators: 0, memoryGb: 1, image: 'i' } as JobSpec;
   const value = { spec, parts: parts.map((p) => [p.block, p.first, p.count]) };
-  board.apply([{ key: `job/${id}`, value, version, deleted: false }]);
+  blockState.apply([{ key: `job/${id}`, value, version, deleted: false }]);
   return [];
 }
 
-function place(board: Board, task: string, machine: string, now: number): string[] {
+function place(blockState: BlockState, task: string, machine: string, now: number): string[] {
   const [id = '', index] = task.split('/');
-  const state = board.jobs.get(id);
-  const on = board.machines.get(machine);
+  const state = blockState.jobs.get(id);
+  const on = blockState.machines.get(machine);
   const next = state?.next();
   if (!state || !on || !next) return ['nothing to place'];
   if (next.index !== Number(index)) return [`next is ${id}/${next.index}`];
   state.place(next, machine, now);
-  board.put(next, on);
+  blockState.put(next, on);
   return [];
 }
 
-function report(board: Board, machine: string, words: string[]): string[] {
+function report(blockState: BlockState, machine: string, words: string[]): string[] {
   const numberOf = (letter: string): number =>
     Number(words.find((w) => w.startsWith(letter) && !w.includes('/'))?.slice(1));
   const tasks: ReportedTask[] = words
@@ -115,11 +115,11 @@
       const ref = { job: jobId, index: Number(index), attempt: Number(attempt) };
       return { ...ref, state: active ? state : 'ended', cause: active ? '' : state };
     });
-  const found = board.machines.get(machine);
+  const found = blockState.machines.get(machine);
   if (!found) return ['not ours'];
   const facts = { machine, address: 'x', type: 'c8', zone: 'a', spot: false, noticeS: null, tasks };
   const numbers = { session: numberOf('s'), seq: numberOf('n'), token: numberOf('t') };
-  const result = board.report(found, { ...facts, ...numbers }, true);
+  const result = blockState.report(found, { ...facts, ...numbers }, true);
   const findings = result.findings.map((f) =>
     f.kind === 'completed'
       ? `completed ${f.job.id}/${f.index}`
--- a/src/testing/user-side.ts
+++ b/src/testing/user-side.ts
@@ -1,5 +1,5 @@
 /** The users' side of one controller, for tests without sockets. */
-import type { Reply, Route } from '../base/web.js';
+import type { Reply, Route } from '../base/replies.js';
 import { Intake, type IntakePorts } from '../intake/intake.js';
 import type { Lane, StoreClient } from '../store/client.js';
 import { CommitStage } from '../store/commit-stage.js';
@@ -47,7 +47,7 @@
     const ports = {
       ...{ clock: () => 0, wallClock: () => 0, settings, mirror, types: () => types, store: client },
       ...{ writes: stage('intake'), confirms: stage('confirm'), home: () => [], isUp: () => true },
-      census: { progress: () => ({ done: 0, active: 0 }) },
+      jobIndex: { progress: () => ({ done: 0, active: 0 }) },
     } as unknown as IntakePorts;
     return new UserSide(ports, id);
   }
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -131,7 +131,7 @@
   return end === 'done' || end === 'cancelled' ? { end, tasks: number(tasks) } : undefined;
 }
 
-/** Consecutive tasks of a job that are dealt to a block, which places them. */
+/** Consecutive tasks of a job that are dispatched to a block, which places them. */
 export interface Part {
   block: number;
   first: number;
@@ -140,7 +140,7 @@
 
 export interface JobRecord {
   spec: JobSpec;
-  /** What no range covers has yet to be dealt by the leader: no block had room for it so far. */
+  /** What no range covers has yet to be dispatched by the leader: no block had room for it so far. */
   parts: Part[];
 }
 
--- a/src/workers/health-monitor.ts
+++ b/src/workers/health-monitor.ts
@@ -6,7 +6,7 @@
 import type { Log } from '../base/log.js';
 import { type CloudClient, releaseLimit } from '../cloud/client.js';
 import type { MachineType } from '../model/types.js';
-import type { Board } from '../placement/board.js';
+import type { BlockState } from '../placement/block-state.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
 import { excusedMs, nobodyIsHeard, silentMachines } from './failure-detection.js';
@@ -18,7 +18,7 @@
   settings: Settings;
   operator: OperatorSettings;
   cloud: CloudClient;
-  board: Board;
+  blockState: BlockState;
   signal: AbortSignal;
   types: () => ReadonlyMap<string, MachineType>;
   /** The store has lately answered us. */
@@ -42,7 +42,7 @@
   constructor(private readonly ports: HealthMonitorPorts) {}
 
   async run(): Promise<void> {
-    const { board, cloud, signal, log, onFreed, settings, clock, inTouch, onUnheard } = this.ports;
+    const { blockState, cloud, signal, log, onFreed, settings, clock, inTouch, onUnheard } = this.ports;
     const pauseMs = settings.reportMs / looksPerReport;
     const processPause = new ProcessPause(clock, pauseMs);
     const saturation = new Saturation();
@@ -52,7 +52,7 @@
       const passedMs = clock() - lookedAt;
       lookedAt += passedMs;
       const excuseMs = excusedMs({ passedMs, heldUpMs: processPause.look(), saturated: saturation.look() });
-      if (excuseMs > 0) for (const machine of board.machines.values()) machine.excuse(excuseMs);
+      if (excuseMs > 0) for (const machine of blockState.machines.values()) machine.excuse(excuseMs);
       // Without the store the block may be another's by now, and nothing that a release frees could start again.
       if (!inTouch()) {
         inTouchSince = clock();
@@ -61,16 +61,16 @@
       }
       // Who is back from a cut may still take for its own what has long been leased to another.
       const settled = clock() - inTouchSince > settings.reportMs * settledReports;
-      if (settled && nobodyIsHeard(board.machines.values(), clock(), settings.reportMs)) {
+      if (settled && nobodyIsHeard(blockState.machines.values(), clock(), settings.reportMs)) {
         onUnheard();
         await sleep(pauseMs, signal);
         continue;
       }
       this.judge();
-      const due = [...board.machines.values()].filter((m) => m.releasing !== '').slice(0, releaseLimit);
+      const due = [...blockState.machines.values()].filter((m) => m.releasing !== '').slice(0, releaseLimit);
       if (due.length > 0 && (await cloud.release(due.map((m) => m.id)))) {
         for (const machine of due) {
-          const lost = board.remove(machine.id);
+          const lost = blockState.remove(machine.id);
           const { id, place, releasing } = machine;
           log.info(
             { event: 'let-go', machine: id, type: place.type, why: releasing, tasks: lost.length },
@@ -86,9 +86,9 @@
   }
 
   private judge(): void {
-    const { board, clock, settings, operator, types, log } = this.ports;
+    const { blockState, clock, settings, operator, types, log } = this.ports;
     const now = clock();
-    const machines = [...board.machines.values()].filter((m) => m.releasing === '');
+    const machines = [...blockState.machines.values()].filter((m) => m.releasing === '');
     for (const machine of machines) {
       const bootMs = (types().get(machine.place.type)?.bootS ?? 0) * 1000 * operator.workers.bootTimes;
       const patience = Math.max(bootMs, settings.leaseMs * 2);
--- a/src/workers/report-handler.ts
+++ b/src/workers/report-handler.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../base/clock.js';
-import type { LeanRoute, Reply } from '../base/web.js';
+import type { LeanRoute, Reply } from '../base/replies.js';
 import type { Registry } from '../blocks/registry.js';
-import type { Tenancy } from '../blocks/tenancy.js';
+import type { BlockLeases } from '../blocks/block-leases.js';
 import { type Order, taskKey } from '../model/types.js';
 import type { Task } from '../placement/job-state.js';
 import type { Scheduler } from '../placement/scheduler.js';
@@ -10,7 +10,7 @@
 import type { MachineState } from './machine-state.js';
 
 /** One report on its way to its answer. */
-interface Visit {
+interface PendingReport {
   machine: MachineState;
   answer: Answer;
   now: number;
@@ -21,10 +21,10 @@
   before: Task[];
 }
 
-export interface DeskPorts {
+export interface ReportHandlerPorts {
   clock: Clock;
   label: string;
-  tenancy: Tenancy;
+  leases: BlockLeases;
   registry: Registry;
   leader: () => string | undefined;
   /** The store serves us and what we know of it is recent. */
@@ -49,10 +49,10 @@
 type Answer = (reply: Reply) => void;
 
 /** Answers workers' reports: whoever is not entitled to command a machine sends its worker on. */
-export class WorkerDesk {
+export class ReportHandler {
   private readonly longPolls: LongPolls;
 
-  constructor(private readonly ports: DeskPorts) {
+  constructor(private readonly ports: ReportHandlerPorts) {
     this.longPolls = new LongPolls(ports.clock, (ports.reportMs * holdShares.busy) / looksPerHold);
   }
 
@@ -65,14 +65,14 @@
 
   /** The usual report has nothing new and nothing to start: it is answered at once, or held, and costs little else. */
   receive(body: unknown, answer: Answer): void {
-    const { tenancy, mayStart, mayAnswer, clock, settleMs } = this.ports;
+    const { leases, mayStart, mayAnswer, clock, settleMs } = this.ports;
     const report = parseReport(body);
     if (!report) return answer({ status: 400, body: { error: 'not a report' } });
-    const tenure = tenancy.find(report.machine);
-    if (!tenure) return answer(this.sendOn(report.machine));
+    const heldBlock = leases.find(report.machine);
+    if (!heldBlock) return answer(this.sendOn(report.machine));
     if (!mayAnswer()) return answer({ status: 421, body: redirectAnswer(undefined) });
-    const { board, scheduler, machine } = tenure;
-    const result = board.report(machine, report, mayStart());
+    const { blockState, scheduler, machine } = heldBlock;
+    const result = blockState.report(machine, report, mayStart());
     // Somebody has leased the machine after us, and the watch has yet to tell us.
     if (result.verdict === 'outranked') return answer({ status: 421, body: redirectAnswer(undefined) });
     const now = clock();
@@ -83,12 +83,12 @@
     const { token, seq } = machine;
     // What is placed from here on is not among the orders yet.
     const before = [...machine.tasks.values()].filter((task) => task.phase !== 'placing');
-    const visit: Visit = { machine, answer, now, token, seq, orders: result.orders, before };
+    const pending: PendingReport = { machine, answer, now, token, seq, orders: result.orders, before };
     scheduler.placeNow(machine);
-    if (machine.tasks.size === before.length) return this.holdOrAnswer(visit, scheduler);
+    if (machine.tasks.size === before.length) return this.holdOrAnswer(pending, scheduler);
     void scheduler
       .decided(() => machine.tasks.values(), settleMs)
-      .then(() => this.holdOrAnswer(visit, scheduler));
+      .then(() => this.holdOrAnswer(pending, scheduler));
   }
 
   /**
@@ -96,20 +96,20 @@
    * with room left it is held a while longer: what comes meanwhile starts at once instead of with the next report. A
    * worker with tasks has news of its own soon, so its answer is held for less.
    */
-  private holdOrAnswer(visit: Visit, scheduler: Scheduler): void {
+  private holdOrAnswer(pending: PendingReport, scheduler: Scheduler): void {
     const { reportMs, mayStart } = this.ports;
-    const { machine, orders } = visit;
-    const quiet = orders.every((order) => order.kind === 'forget') && this.news(visit).length === 0;
-    if (!quiet || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(visit);
+    const { machine, orders } = pending;
+    const quiet = orders.every((order) => order.kind === 'forget') && this.newOrders(pending).length === 0;
+    if (!quiet || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(pending);
     const share = machine.tasks.size === 0 ? holdShares.empty : holdShares.busy;
-    this.longPolls.add(machine, reportMs * share, () => this.finish(visit));
+    this.longPolls.add(machine, reportMs * share, () => this.finish(pending));
   }
 
-  private finish(visit: Visit): void {
-    const { machine, token, seq, answer } = visit;
+  private finish(pending: PendingReport): void {
+    const { machine, token, seq, answer } = pending;
     const now = this.ports.clock();
     // We were held up ourselves: the worker has long asked another, and drops what is said now.
-    const late = now - visit.now > workerWaitsMs;
+    const late = now - pending.now > workerWaitsMs;
     // Whatever came in between, a start goes out only under the token that its intent was committed with.
     const valid =
       machine.token === token &&
@@ -118,7 +118,7 @@
       !late &&
       this.ports.mayStart();
     const orders: Order[] = [];
-    for (const order of valid ? [...visit.orders, ...this.news(visit)] : visit.orders) {
+    for (const order of valid ? [...pending.orders, ...this.newOrders(pending)] : pending.orders) {
       if (order.kind === 'start') {
         // While the answer was held its job may have ended, and what may be told to start now was said then.
         const task = machine.tasks.get(taskKey(order));
@@ -131,7 +131,7 @@
   }
 
   /** What has been committed for the machine since its report came, and what has ended since. */
-  private news({ machine, before }: Visit): Order[] {
+  private newOrders({ machine, before }: PendingReport): Order[] {
     const orders: Order[] = [];
     for (const task of machine.tasks.values()) {
       const { index, attempt, phase, job } = task;
