--- a/src/fault-scenarios/close-looks.test.ts
+++ b/src/fault-scenarios/close-looks.test.ts
@@ -57,6 +57,26 @@
   },
 );
 
+// Guards against a submission that undoes the end of its job: it would be run after its user was told of the cancellation.
+scenario(
+  'a submission without an answer is carried out after its job was accepted elsewhere and cancelled',
+  { port: 26_200, taskMs: long, capacity: 6 },
+  async (cluster) => {
+    const id = 'req-000031';
+    cluster.store.keeps = (key) => key === `sk/job/${id}`;
+    assert.equal(await cluster.submit(0, submission(id, 2)), 503);
+    await cluster.submitSurely(submission(id, 2), 1);
+    assert.equal(await cluster.cancelSurely(id, [2]), 'cancelled');
+    assert.equal(cluster.store.deliver(), 1);
+    await pause(leaseMs);
+    for (const node of labels.keys()) {
+      assert.equal(await cluster.ask(node, id), 'cancelled');
+      assert.equal(await cluster.submit(node, submission(id, 2)), 200);
+    }
+    assert.equal(cluster.store.value(`job/${id}`), undefined);
+  },
+);
+
 /** Questions and repeated submissions at all controllers, within a few milliseconds, three times over. */
 async function lookClosely(cluster: Cluster, id: string): Promise<unknown> {
   const requests: Promise<unknown>[] = [];
@@ -88,7 +108,7 @@
 // Guards against older answers that no single order of events above has thought of.
 for (const [index, seed] of [1, 2, 3].entries()) {
   scenario(
-    `users look closely while answers of the store are late or lost and controllers end and return, seed ${seed}`,
+    `users look closely while answers of the store are late or lost and controllers are cut off, end and return, seed ${seed}`,
     { port: 26_080 + index * 40, taskMs: 700, seed, capacity: 6 },
     async (cluster) => {
       const random = seeded(seed);
@@ -102,7 +122,10 @@
       cluster.store.losesAnswers = 5;
       await cluster.restart(labels[seed % labels.length] ?? '', 100);
       cluster.store.late = { share: 0.1, fromMs: reportMs, toMs: leaseMs };
+      const cutOff = labels[(seed + 1) % labels.length] ?? '';
+      cluster.store.held.add(cutOff);
       await pause(leaseMs / 2);
+      cluster.store.held.delete(cutOff);
       cluster.store.late = undefined;
       await cluster.restart(await cluster.leading(), 300);
       await Promise.all(users);
--- a/src/intake/linearizability.test.ts
+++ b/src/intake/linearizability.test.ts
@@ -23,10 +23,12 @@
 }
 
 describe('a job that was told as cancelled is told as nothing else', () => {
-  // Guards against `went_back`: a repetition shared the evidence of an earlier one that was still under way.
-  test('a repetition that arrives after the cancellation was told, while an earlier one is under way', async () => {
-    const { store, first, second } = await twoControllers();
-    assert.equal((await first.submit()).status, 201);
+  /** While a submission is under way at one controller the cancellation is told by another; then the job is submitted again. */
+  async function submitAfterCancellation(
+    store: HeldStore,
+    first: UserSide,
+    second: UserSide,
+  ): Promise<unknown> {
     store.holdsAnswers = true;
     const earlier = first.submit();
     await settled();
@@ -35,21 +37,20 @@
     const later = first.submit();
     await settled();
     await replyOf(store, earlier);
-    assert.deepEqual(await replyOf(store, later), cancelled);
+    return replyOf(store, later);
+  }
+
+  // Guards against `went_back`: a repetition shared the evidence of an earlier one that was still under way.
+  test('a repetition that arrives after the cancellation was told, while an earlier one is under way', async () => {
+    const { store, first, second } = await twoControllers();
+    assert.equal((await first.submit()).status, 201);
+    assert.deepEqual(await submitAfterCancellation(store, first, second), cancelled);
   });
 
   // Guards against the same with the first submission itself, whose commit was executed before the cancellation.
   test('a repetition that arrives after the cancellation was told, while the acceptance is under way', async () => {
     const { store, first, second } = await twoControllers();
-    store.holdsAnswers = true;
-    const earlier = first.submit();
-    await settled();
-    store.holdsAnswers = false;
-    assert.deepEqual((await second.cancel()).body, cancelled);
-    const later = first.submit();
-    await settled();
-    await replyOf(store, earlier);
-    assert.deepEqual(await replyOf(store, later), cancelled);
+    assert.deepEqual(await submitAfterCancellation(store, first, second), cancelled);
   });
 
   // Guards against what this controller has learned itself being passed over for an answer that is on its way.
