Shorter turns: lumps of the leader and of placement give way to sockets; a round leaves out what is full

Placing, ending and writing down came in one turn, as did the steps of the ladder, of leasing and of dispatch; each is 10 to 30 ms of processor time, of which a controller gets 43 ms a second. They give way between their parts now. A placement round no longer looks at teams at their limit, nor at machines that it has filled; the ladder works the pools out once for each kind of task.

--- a/src/blocks/block-allocator.ts
+++ b/src/blocks/block-allocator.ts
@@ -1,4 +1,5 @@
 import { sleep } from '../base/clock.js';
+import { nextTurn } from '../base/turns.js';
 import type { Fleet } from '../ladder/fleet.js';
 import { needOf } from '../placement/job-index.js';
 import type { Team } from '../settings/settings.js';
@@ -40,6 +41,7 @@
       if (term.signal.aborted || store.failing || mirror.revision < Math.max(term.token, this.committed))
         continue;
       await this.leaseBlocks();
+      await nextTurn();
       if (mirror.revision >= this.committed)
         this.committed = Math.max(this.committed, await this.dispatcher.look());
     }
--- a/src/blocks/block-capacity.ts
+++ b/src/blocks/block-capacity.ts
@@ -1,4 +1,4 @@
-import { type JobSpec, type MachineType, type Resources, fits } from '../model/types.js';
+import { type JobSpec, type MachineType, type Resources, fits, taskKind } from '../model/types.js';
 import type { JobIndex } from '../placement/job-index.js';
 import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
 
@@ -45,7 +45,7 @@
 
   /** Roomiest first. Blocks whose owner is gone have none, unless all owners are. */
   of(spec: JobSpec): Capacity[] {
-    const key = [spec.cpus, spec.accelerators, spec.memoryGb, spec.spot, spec.zone, spec.types].join('/');
+    const key = taskKind(spec);
     let kind = this.byKind.get(key);
     if (!kind) this.byKind.set(key, (kind = this.measure(spec)));
     const capacities = kind.map(({ block, free, size }) => {
--- a/src/blocks/dispatcher.ts
+++ b/src/blocks/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
+import { nextTurn } from '../base/turns.js';
 import type { Term } from '../leadership/term.js';
 import type { MachineType } from '../model/types.js';
 import { type JobIndex, type IndexedJob, needOf } from '../placement/job-index.js';
@@ -56,6 +57,7 @@
   /** Returns the revision of the last commit. */
   async look(): Promise<number> {
     await this.dispatchJobs();
+    await nextTurn();
     if (this.ports.mirror.revision >= this.committed) await this.rebalance();
     return this.committed;
   }
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -1,4 +1,11 @@
-import { type JobSpec, type MachineType, type Resources, fits, withinLimit } from '../model/types.js';
+import {
+  type JobSpec,
+  type MachineType,
+  type Resources,
+  fits,
+  taskKind,
+  withinLimit,
+} from '../model/types.js';
 import { type JobIndex, type IndexedJob, needOf } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
 import { Usage } from '../placement/placement-round.js';
@@ -88,11 +95,15 @@
   }
   // The order decides only who is admitted below a limit.
   const limited = [...facts.teams.values()].some((team) => team.cpusMax > 0 || team.acceleratorsMax > 0);
+  // There are far fewer kinds of tasks than jobs.
+  const choicesByKind = new Map<string, Pool[]>();
   for (const job of limited ? jobIndex.inOrder(facts.order, facts.now) : jobIndex.jobs.values()) {
     const need = needOf(job.spec);
     let left = admitted(job, facts, usage);
     usage.add(job.spec.team, need, left);
-    const choices = poolsFor(job.spec, pools.values());
+    const kind = taskKind(job.spec);
+    const choices = choicesByKind.get(kind) ?? poolsFor(job.spec, pools.values());
+    choicesByKind.set(kind, choices);
     for (const { block, count } of jobIndex.waiting(job)) {
       left -= spreadOver(choices, need, Math.min(left, count), block ?? -1, shape);
     }
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -2,6 +2,7 @@
 import { sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
+import { nextTurn } from '../base/turns.js';
 import { type CloudClient, releaseLimit, rentalLimit } from '../cloud/client.js';
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
@@ -160,6 +161,7 @@
       (machine) => this.unwanted.has(machine.id) || this.lost.has(machine.id),
       (type, spot) => type.zones.every((zone) => this.refusals.refused(type.name, zone, spot, now)),
     );
+    await nextTurn();
     countDemand({
       jobIndex,
       order,
@@ -169,6 +171,7 @@
       teams: settings.teams,
       shape: operator.ladder,
     });
+    await nextTurn();
     this.pools = pools;
     this.logPools(now);
     for (const { pool, outcome } of this.failureObserver.observe(jobIndex, pools, machines, now)) {
--- a/src/model/types.ts
+++ b/src/model/types.ts
@@ -105,3 +105,8 @@
 export function withinLimit(used: number, more: number, limit: number): boolean {
   return limit === 0 || used + more <= limit + slack;
 }
+
+/** Tasks of the same kind fit the same machines. */
+export function taskKind({ cpus, accelerators, memoryGb, spot, zone, types }: JobSpec): string {
+  return [cpus, accelerators, memoryGb, spot, zone, types].join('/');
+}
--- a/src/placement/placement-round.ts
+++ b/src/placement/placement-round.ts
@@ -92,7 +92,7 @@
     .filter(facts.usable)
     .map((machine) => ({ machine, type: facts.types.get(machine.place.type) }))
     .filter((m): m is { machine: MachineState; type: MachineType } => m.type !== undefined);
-  const rooms = usable
+  let rooms = usable
     .map((m) => ({ ...m, free: m.machine.free(m.type) }))
     .filter(({ free }) => fits(least, free))
     .sort((a, b) => (a.machine.id < b.machine.id ? -1 : 1));
@@ -100,6 +100,7 @@
   const usage = facts.usage();
   for (const { job, spec } of waiting) {
     const team = facts.team(job.team);
+    if (!usage.admits(team, job.need)) continue;
     const zones = zonesInUse(job, machines);
     const half = Math.ceil(spec.tasks / 2);
     let candidates = rooms.filter(
@@ -113,6 +114,7 @@
     const cheap = [...facts.cheap].some((type) => spec.types === null || spec.types.includes(type));
     if (spec.spot && cheap) candidates = candidates.filter(({ machine }) => machine.place.spot);
     candidates = quickestFirst(candidates, spec.image);
+    const placedBefore = choices.length;
     let left = job.waiting;
     let at = 0;
     while (left > 0 && choices.length < facts.most && usage.admits(team, job.need)) {
@@ -135,6 +137,9 @@
       left--;
     }
     if (choices.length >= facts.most) break;
+    // With what is full left out, a long queue beside little room is soon gone through.
+    if (choices.length > placedBefore) rooms = rooms.filter(({ free }) => fits(least, free));
+    if (rooms.length === 0) break;
   }
   return choices;
 }
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -105,6 +105,31 @@
   assert.deepEqual(place(), ['m2', 'm2']);
 });
 
+// Guards against a round that leaves machines out too early: what is full for one job may have room for a smaller one.
+test('a round goes on to smaller jobs after larger ones have found no room, and past teams at their limit', () => {
+  const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t]));
+  const at = { block: 0, ledger: new Ledger(valueBytes), perChunk: 100 };
+  const jobs = [
+    { ...jobSpec('req-1', 1), cpus: 6, team: 'blue' },
+    { ...jobSpec('req-2', 1), cpus: 6, team: 'blue' },
+    { ...jobSpec('req-3', 1), cpus: 1, team: 'red' },
+    { ...jobSpec('req-4', 1), cpus: 1, team: 'blue' },
+  ].map((spec) => JobState.of(spec, 1, at));
+  for (const job of jobs) job.assignRanges([{ block: 0, first: 0, count: 1 }], 1);
+  const machine = new MachineState('m1', 0);
+  machine.place = { id: 'm1', type: 'c8', zone: 'a', spot: false };
+  const usage = new Usage();
+  usage.add('red', { cpus: 32, accelerators: 0, memoryGb: 0 });
+  const choices = placeTasks({
+    ...{ now: 0, jobs, machines: [machine], types, cheap: new Set<string>(), partial: false, most: 9 },
+    ...{ usage: () => usage, usable: () => true, team: (name) => testSettings().teams.get(name) },
+  });
+  assert.deepEqual(
+    choices.map(({ task }) => task.job.id),
+    ['req-1', 'req-4'],
+  );
+});
+
 // Guards against a job that waits for ever: the watch brought its new version before the refusal of the old one came.
 test('a job whose intents were turned down is placed again under the version that the watch has brought since', async () => {
   const seen: number[] = [];
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -2,6 +2,7 @@
 import { onAbort } from '../base/aborts.js';
 import { sleep, timer } from '../base/clock.js';
 import type { Log } from '../base/log.js';
+import { nextTurn } from '../base/turns.js';
 import type { MachineType } from '../model/types.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
@@ -130,9 +131,11 @@
         this.wanted = false;
         placedAt = clock();
         if (blockState.waitingJobs().length > 0) this.place();
+        await nextTurn();
       }
-      this.endJobs();
-      this.persist();
+      if (!signal.aborted) this.endJobs();
+      await nextTurn();
+      if (!signal.aborted) this.persist();
     }
   }
 
