Ends are read by the page; an answer that came while we were busy is not thrown away

One request under way at a time now reads a page of ends, beginning with the first that is wanted: sixty questions cost one (test). The cost of a question whose end is known stays nothing.

Beside it: a deadline that fell due during a long turn gave up a call whose answer was waiting to be read, since timers come before sockets. The call is given up a turn later now, if it is still open.

--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'node:http';
 import { decode, encode } from '../wire/codec.js';
 import { onAbort } from './aborts.js';
+import { nextTurn } from './turns.js';
 
 export interface Answer {
   status: number;
@@ -34,11 +35,18 @@
           ? {}
           : { 'content-type': 'application/msgpack', 'content-length': payload.length };
       const call = request({ host: this.host, port: this.port, method, path, headers, agent: this.agent });
+      let settled = false;
+      // After a long turn timers come before sockets: what has arrived by the deadline is read before the call is given up.
+      const expire = async (): Promise<void> => {
+        await nextTurn();
+        if (!settled) call.destroy(new Error('no answer in time'));
+      };
       // The deadline covers the whole exchange, since a cut swallows packets without an error.
-      const timer = setTimeout(() => call.destroy(new Error('no answer in time')), options.timeoutMs);
+      const timer = setTimeout(() => void expire(), options.timeoutMs);
       const stopListening =
         options.signal && onAbort(options.signal, () => void call.destroy(new Error('cancelled')));
       const settle = (finish: () => void): void => {
+        settled = true;
         clearTimeout(timer);
         stopListening?.();
         finish();
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -4,15 +4,15 @@
 import type { LeanRoute, Reply, Route } from '../base/replies.js';
 import type { JobIndex } from '../placement/job-index.js';
 import { type JobStatus, isJobId, jobAnswer, jobDetails, jobIdIn, parseJob } from '../wire/jobs.js';
-import { JobCanceller } from './job-canceller.js';
+import { type CancelPorts, JobCanceller } from './job-canceller.js';
 import { type JobStatusPorts, JobStatusReader, type JobStatusResult } from './job-status.js';
 import { type SubmissionPorts, Submissions } from './submissions.js';
 
-export interface IntakePorts extends SubmissionPorts, JobStatusPorts {
+export interface IntakePorts extends SubmissionPorts, JobStatusPorts, CancelPorts {
   clock: Clock;
   wallClock: () => number;
   log: Log;
-  store: SubmissionPorts['store'] & JobStatusPorts['store'];
+  store: SubmissionPorts['store'] & JobStatusPorts['store'] & CancelPorts['store'];
   isUp: () => boolean;
   jobIndex: Pick<JobIndex, 'progress'>;
 }
--- a/src/intake/job-status.ts
+++ b/src/intake/job-status.ts
@@ -4,6 +4,7 @@
 import type { CommitStage } from '../store/commit-stage.js';
 import { type End, endKey, jobKey, parseEnd } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
+import { EndReader } from './end-reader.js';
 
 export interface EndedJob {
   kind: 'ended';
@@ -20,7 +21,7 @@
   | { kind: 'unavailable' };
 
 export interface JobStatusPorts {
-  store: Pick<StoreClient, 'failing' | 'read'>;
+  store: Pick<StoreClient, 'failing' | 'listPage'>;
   mirror: Mirror;
   /** Transactions that compare only. */
   confirms: CommitStage;
@@ -33,7 +34,11 @@
  * controller may have told an end since that one was executed.
  */
 export class JobStatusReader {
-  constructor(private readonly ports: JobStatusPorts) {}
+  private readonly ends: EndReader;
+
+  constructor(private readonly ports: JobStatusPorts) {
+    this.ends = new EndReader(ports);
+  }
 
   async read(id: string): Promise<JobStatusResult> {
     const ended = this.knownEnd(id);
@@ -66,14 +71,9 @@
     return outcome.failed.includes(noEnd.key) ? this.readEnd(id) : { kind: 'open' };
   }
 
+  /** Without an answer it is certain that the job has ended, but not how: the user has to ask again. */
   private async readEnd(id: string): Promise<JobStatusResult> {
-    const { mirror, store } = this.ports;
-    try {
-      const item = await store.read(endKey(id), 'intake');
-      if (item) mirror.learnEnd(item.key, item);
-    } catch {
-      // That the job has ended is certain, but not how: the user has to ask again.
-    }
+    if (!this.knownEnd(id)) await this.ends.read(id);
     return this.knownEnd(id) ?? { kind: 'unavailable' };
   }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -10,6 +10,7 @@
   type Change,
   type Condition,
   type Item,
+  type ListPage,
   type Write,
   commitBody,
   grantBody,
@@ -65,7 +66,7 @@
 const watchGapReports = 0.1;
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
-const listPage = 500;
+const itemsPerPage = 500;
 
 export class StoreClient {
   private readonly peer: HttpPeer;
@@ -172,9 +173,7 @@
     let after = '';
     let revision: number | undefined;
     for (;;) {
-      const answer = await this.call('GET', listPath(prefix, after, listPage), undefined);
-      if (answer.status !== 200) throw new StoreUnavailable(`list answered ${answer.status}`);
-      const page = parseList(answer.body);
+      const page = await this.listPage(prefix, after, itemsPerPage);
       revision ??= page.revision;
       items.push(...page.items);
       const last = page.items.at(-1);
@@ -183,6 +182,13 @@
     }
   }
 
+  /** One page of the items below a prefix, in the order of their keys, beginning after a key. */
+  async listPage(prefix: string, after: string, most: number, lane: Lane = 'duty'): Promise<ListPage> {
+    const answer = await this.call('GET', listPath(prefix, after, most), undefined, lane);
+    if (answer.status !== 200) throw new StoreUnavailable(`list answered ${answer.status}`);
+    return parseList(answer.body);
+  }
+
   /** Waits for changes; undefined where the service no longer has them and the keys must be read again. */
   async watch(since: number): Promise<{ changes: Change[]; revision: number } | undefined> {
     const stop = new AbortController();
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -1,7 +1,7 @@
 import { Readable, Writable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
 import { sleep } from '../base/clock.js';
-import type { Change } from '../wire/state.js';
+import type { Change, Item } from '../wire/state.js';
 import type { StoreClient } from './client.js';
 
 export interface Entry {
@@ -67,10 +67,14 @@
    * What we learned of an end other than by the watch; ends never change, so it may be kept. The listeners hear of it at
    * once: the watch may not come again for as long as an outage lasts, and a user may have been told by then.
    */
-  learnEnd(key: string, entry: Entry): void {
-    if (this.ends.has(key)) return;
-    this.keepEnd(key, entry);
-    this.notify([{ key, ...entry, deleted: false }]);
+  learnEnd(key: string, { value, version }: Entry): void {
+    this.learnEnds([{ key, value, version }]);
+  }
+
+  learnEnds(items: Item[]): void {
+    const unknown = items.filter(({ key }) => !this.ends.has(key));
+    for (const { key, value, version } of unknown) this.keepEnd(key, { value, version });
+    this.notify(unknown.map((item) => ({ ...item, deleted: false })));
   }
 
   /**
--- a/src/testing/held-store.ts
+++ b/src/testing/held-store.ts
@@ -1,6 +1,6 @@
 /** An in-memory state service whose answers the test holds back and releases one by one. */
-import type { CommitOutcome } from '../store/client.js';
-import { type Condition, type Item, type Write, writtenKey } from '../wire/state.js';
+import { type CommitOutcome, StoreUnavailable } from '../store/client.js';
+import { type Condition, type Item, type ListPage, type Write, writtenKey } from '../wire/state.js';
 
 interface StoredValue {
   value: unknown;
@@ -13,8 +13,10 @@
  */
 export class HeldStore {
   holdsAnswers = false;
-  /** Transactions executed so far: with writes, and those that only compare. */
-  readonly executed = { writing: 0, comparing: 0 };
+  /** Lists get no answer. */
+  failsLists = false;
+  /** Requests executed so far: transactions with writes, those that only compare, and pages of lists. */
+  readonly executed = { writing: 0, comparing: 0, listing: 0 };
   private readonly keys = new Map<string, StoredValue>();
   private readonly heldAnswers: (() => void)[] = [];
   private revision = 0;
@@ -39,6 +41,16 @@
     await settled();
   }
 
+  listPage(prefix: string, after: string, most: number): Promise<ListPage> {
+    this.executed.listing++;
+    if (this.failsLists) return Promise.reject(new StoreUnavailable('no answer in time'));
+    const found = [...this.keys]
+      .filter(([key]) => key.startsWith(prefix) && key > after)
+      .sort(([a], [b]) => (a < b ? -1 : 1));
+    const items = found.slice(0, most).map(([key, stored]) => ({ key, ...stored }));
+    return this.answer({ items, more: found.length > most, revision: this.revision });
+  }
+
   private answer<T>(value: T): Promise<T> {
     if (!this.holdsAnswers) return Promise.resolve(value);
     return new Promise((resolve) => this.heldAnswers.push(() => resolve(value)));
--- a/src/testing/user-side.ts
+++ b/src/testing/user-side.ts
@@ -17,7 +17,7 @@
   writeWaitMs?: number;
 }
 
-/** Requests about one job to one controller, whose copy of the store learns nothing but what it commits itself. */
+/** Requests, most of them about one job, to one controller, whose copy of the store learns nothing but what it commits itself. */
 export class UserSide {
   private readonly routes: Route[];
 
@@ -43,6 +43,7 @@
       failing: false,
       writeWaitMs: () => options.writeWaitMs ?? 0,
       read: (key: string) => store.read(key),
+      listPage: (prefix: string, after: string, most: number) => store.listPage(prefix, after, most),
     } as unknown as StoreClient;
     const ports = {
       ...{ clock: () => 0, wallClock: () => 0, settings, mirror, types: () => types, store: client },
@@ -53,19 +54,19 @@
   }
 
   /** A submission of the job; `change` makes it differ from the others. */
-  async submit(change: Record<string, unknown> = {}): Promise<Reply> {
-    return this.request(0, submission(this.id, 1, change));
+  async submit(change: Record<string, unknown> = {}, id = this.id): Promise<Reply> {
+    return this.request(0, submission(id, 1, change), id);
   }
 
-  async query(): Promise<Reply> {
-    return this.request(1, undefined);
+  async query(id = this.id): Promise<Reply> {
+    return this.request(1, undefined, id);
   }
 
-  async cancel(): Promise<Reply> {
-    return this.request(2, {});
+  async cancel(id = this.id): Promise<Reply> {
+    return this.request(2, {}, id);
   }
 
-  private async request(route: number, body: unknown): Promise<Reply> {
-    return (this.routes[route] as Route).handle(body, [this.id]);
+  private async request(route: number, body: unknown, id: string): Promise<Reply> {
+    return (this.routes[route] as Route).handle(body, [id]);
   }
 }
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -8,10 +8,11 @@
 export const blockKey = (block: number): string => `block/${block}`;
 export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
-export const endKey = (id: string): string => `end/${id}`;
+export const endPrefix = 'end/';
+export const endKey = (id: string): string => `${endPrefix}${id}`;
 /** The job whose end the key holds, if it is such a key. */
 export const endedJob = (key: string): string | undefined =>
-  key.startsWith('end/') ? key.slice('end/'.length) : undefined;
+  key.startsWith(endPrefix) ? key.slice(endPrefix.length) : undefined;
 export const ledgerPrefix = (block: number): string => `run/${block}/`;
 export const ledgerKey = (block: number, page: number): string => `${ledgerPrefix(block)}${page}`;
 
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -82,7 +82,14 @@
   return parseItem(body);
 }
 
-export function parseList(body: unknown): { items: Item[]; more: boolean; revision: number } {
+export interface ListPage {
+  items: Item[];
+  /** There are further items after the last of these. */
+  more: boolean;
+  revision: number;
+}
+
+export function parseList(body: unknown): ListPage {
   const fields = isFields(body) ? body : {};
   return {
     items: list(fields['items'])
