--- a/src/fault-scenarios/close-looks.test.ts
+++ b/src/fault-scenarios/close-looks.test.ts
@@ -77,6 +77,40 @@
   },
 );
 
+// Guards against answers from the past: after a pause, what the store had said before it and what users ask since come together.
+scenario(
+  'a controller stands still with answers on their way, the job is cancelled elsewhere, and it goes on',
+  { port: 26_240, taskMs: long, processes: ['keel-2'] },
+  async (cluster) => {
+    const paused = 'keel-2';
+    const node = labels.indexOf(paused);
+    for (const id of ['req-000041', 'req-000042', 'req-000043']) {
+      await cluster.submitSurely(submission(id, 1));
+      await cluster.until('it knows the job', async () =>
+        ['pending', 'running'].includes(await cluster.ask(node, id)),
+      );
+      cluster.store.holdsAnswers = holdsAnswersAbout(paused, id);
+      const earlier = [cluster.submit(node, submission(id, 1)), cluster.ask(node, id)];
+      await answerIsHeld(cluster);
+      cluster.standStill(paused);
+      cluster.store.releaseAnswers();
+      await pause(reportMs / 4);
+      // Only the answers from before reach it: its watch, its peers and what it asks once it goes on are held back.
+      cluster.store.held.add(paused);
+      for (const link of cluster.peersOf(paused)) link.cut();
+      assert.equal(await cluster.cancelSurely(id, [0, 1]), 'cancelled');
+      const later = [cluster.submit(node, submission(id, 1)), cluster.ask(node, id)];
+      await pause(reportMs);
+      cluster.goOn(paused);
+      await pause(reportMs);
+      cluster.store.held.delete(paused);
+      for (const link of cluster.peersOf(paused)) link.heal();
+      await Promise.all([...earlier, ...later]);
+      assert.equal(await cluster.ask(node, id), 'cancelled');
+    }
+  },
+);
+
 /** Questions and repeated submissions at all controllers, within a few milliseconds, three times over. */
 async function lookClosely(cluster: Cluster, id: string): Promise<unknown> {
   const requests: Promise<unknown>[] = [];
@@ -127,7 +161,7 @@
       await pause(leaseMs / 2);
       cluster.store.held.delete(cutOff);
       cluster.store.late = undefined;
-      await cluster.restart(await cluster.leading(), 300);
+      await Promise.all(labels.map((label, i) => cluster.restart(label, 100 + 100 * i)));
       await Promise.all(users);
       cluster.store.lateAnswers = undefined;
       for (const id of ids) {
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,3 +1,8 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { HttpPeer, type Answer } from '../base/http.js';
 import { createLog, silentLog } from '../base/log.js';
 import { Controller } from '../controller.js';
@@ -8,7 +13,7 @@
 import { History, type JobFacts, type Told } from './history.js';
 import { Link } from './link.js';
 import { seeded } from './seeded.js';
-import { testSettings } from './settings.js';
+import { settingsJson, testSettings } from './settings.js';
 import { StoreStandIn } from './store-standin.js';
 import { WorkerStandIn } from './worker-standin.js';
 
@@ -33,8 +38,12 @@
   seed?: number;
   /** Machines that each zone has to give. */
   capacity?: number;
+  /** Controllers that run in processes of their own, so that a test can stop and continue them. */
+  processes?: string[];
 }
 
+const mainModule = fileURLToPath(new URL('../main.js', import.meta.url));
+
 /** Three controllers in this process, with stand-ins for all that is outside. */
 export class Cluster {
   readonly store: StoreStandIn;
@@ -47,6 +56,7 @@
   onDone: (piece: string) => void = () => undefined;
   private calmAt = Date.now();
   private readonly running = new Map<string, AbortController>();
+  private readonly processes = new Map<string, { child: ChildProcess; directory: string }>();
   private readonly users: HttpPeer[];
   private readonly links = new Map<string, Link>();
   private readonly random: () => number;
@@ -68,7 +78,10 @@
       this.cloud.listen(port + 5),
       ...labels.flatMap((from, i) => labels.flatMap((to, j) => (i === j ? [] : [this.connect(from, to)]))),
     ]);
-    for (const label of labels) this.startController(label);
+    for (const label of labels) {
+      if (this.options.processes?.includes(label)) this.startProcess(label);
+      else this.startController(label);
+    }
     await this.until('all controllers are up', async () => {
       const answers = await Promise.all([0, 1, 2].map((node) => this.user(node, 'GET', '/up')));
       return answers.every((answer) => answer.status === 200);
@@ -77,24 +90,7 @@
   }
 
   startController(label: string): void {
-    const { port } = this.options;
-    const index = labels.indexOf(label);
-    const others = labels
-      .map((other, i) => ({
-        label: other,
-        location: zones[i],
-        address: `127.0.0.1:${this.linkPort(index, i)}`,
-      }))
-      .filter((other) => other.label !== label);
-    const settings = testSettings((file) => {
-      Object.assign(file, { label, location: zones[index], others });
-      Object.assign(file, { serve_on: this.address(index, 0), back: this.address(index, 1) });
-      file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
-      const inner = file['settings'] as Record<string, unknown>;
-      inner['workers'] = times;
-      inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20 };
-      inner['cloud'] = { rps: 50, list_lag_s: 0.1 };
-    });
+    const settings = testSettings((file) => this.adapt(file, label));
     const stop = new AbortController();
     this.running.set(label, stop);
     // Who looks for a cause sets LOG_LEVEL, as for the service itself.
@@ -103,6 +99,28 @@
     void new Controller(settings, defaultOperatorSettings, log, stop.signal).run();
   }
 
+  /** The program as it is deployed, but for its bundling. */
+  private startProcess(label: string): void {
+    const directory = mkdtempSync(join(tmpdir(), 'shalekeel-'));
+    const path = join(directory, 'settings.json');
+    writeFileSync(
+      path,
+      settingsJson((file) => this.adapt(file, label)),
+    );
+    const env = { ...process.env, LOG_LEVEL: process.env['LOG_LEVEL'] ?? 'error' };
+    const child = spawn(process.execPath, [mainModule, '--config', path], { stdio: 'inherit', env });
+    this.processes.set(label, { child, directory });
+  }
+
+  /** The process of a controller stands still: what is sent to it waits, and its clock runs on. */
+  standStill(label: string): void {
+    this.processes.get(label)?.child.kill('SIGSTOP');
+  }
+
+  goOn(label: string): void {
+    this.processes.get(label)?.child.kill('SIGCONT');
+  }
+
   /** As with no signal: nothing is said to anybody, its connections end. */
   stopController(label: string): void {
     this.running.get(label)?.abort();
@@ -247,6 +265,10 @@
 
   stop(): void {
     for (const stop of this.running.values()) stop.abort();
+    for (const { child, directory } of this.processes.values()) {
+      child.kill('SIGKILL');
+      rmSync(directory, { recursive: true, force: true });
+    }
     for (const worker of this.workers.values()) worker.end();
     for (const user of this.users) user.close();
     for (const link of this.links.values()) link.close();
@@ -254,6 +276,26 @@
     this.cloud.close();
   }
 
+  /** Makes the settings those of one controller of this cluster. */
+  private adapt(file: Record<string, unknown>, label: string): void {
+    const { port } = this.options;
+    const index = labels.indexOf(label);
+    const others = labels
+      .map((other, i) => ({
+        label: other,
+        location: zones[i],
+        address: `127.0.0.1:${this.linkPort(index, i)}`,
+      }))
+      .filter((other) => other.label !== label);
+    Object.assign(file, { label, location: zones[index], others });
+    Object.assign(file, { serve_on: this.address(index, 0), back: this.address(index, 1) });
+    file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
+    const inner = file['settings'] as Record<string, unknown>;
+    inner['workers'] = times;
+    inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20 };
+    inner['cloud'] = { rps: 50, list_lag_s: 0.1 };
+  }
+
   private async try(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
     return this.user(node, method, path, body).catch(() => ({ status: 0, body: undefined }));
   }
