--- a/src/controller.ts
+++ b/src/controller.ts
@@ -257,7 +257,7 @@
     }
   }
 
-  /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch out. */
+  /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch. */
   private home(spec: JobSpec): Part[] {
     const { registry, jobIndex, types, election } = this;
     const alive = (label: string): boolean => registry.isAlive(label);
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -90,7 +90,7 @@
       }
       case 'open': {
         const { done, active } = this.ports.jobIndex.progress(id);
-        return { status: 200, body: jobDetails(id, this.statusNow(id), done, active) };
+        return { status: 200, body: jobDetails(id, this.statusNow(id, active), done, active) };
       }
       case 'never-accepted':
         return unknownJob;
@@ -113,10 +113,10 @@
   }
 
   /** Of a job that was shown to be open, or has ended since. Its progress may lag behind the leader by a commit or two. */
-  private statusNow(id: string): JobStatus {
+  private statusNow(id: string, active = this.ports.jobIndex.progress(id).active): JobStatus {
     const ended = this.statuses.knownEnd(id);
     if (ended) return ended.end;
-    return this.ports.jobIndex.progress(id).active > 0 ? 'running' : 'pending';
+    return active > 0 ? 'running' : 'pending';
   }
 
   /** Where another controller could have answered, the user is sent to it by ending the connection. */
--- a/src/placement/placement-round.ts
+++ b/src/placement/placement-round.ts
@@ -3,7 +3,7 @@
 import type { MachineState } from '../workers/machine-state.js';
 import type { JobState, Task } from './job-state.js';
 
-export interface PlanFacts {
+export interface PlacementFacts {
   now: number;
   /** With waiting tasks, in the order of work. */
   jobs: JobState[];
@@ -70,7 +70,7 @@
 }
 
 /** First-fit: each waiting task, in the order of work, goes to the first machine that has room for it. */
-export function placeTasks(facts: PlanFacts): Choice[] {
+export function placeTasks(facts: PlacementFacts): Choice[] {
   const choices: Choice[] = [];
   const waiting = facts.jobs
     .filter(
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -12,7 +12,7 @@
   settle: (outcome: CommitOutcome) => void;
 }
 
-// Capacity left in a transaction for its own framing.
+// Room left in a transaction for its own framing.
 const transactionBytes = 60 * 1024;
 /** Worst case of a key with its version, in the JSON form that limits are measured in. */
 const bytesPerKey = 64;
--- a/src/testing/block-stage.ts
+++ b/src/testing/block-stage.ts
@@ -1,4 +1,5 @@
 /** One block under test: the state of a block and a scheduler whose commits are answered by the test. */
+import { nextTurn } from '../base/turns.js';
 import { silentLog } from '../base/log.js';
 import type { JobSpec, Report } from '../model/types.js';
 import { BlockState } from '../placement/block-state.js';
@@ -98,7 +99,7 @@
       const machine = blockState.machines.get(id) as MachineState;
       blockState.report(machine, { ...emptyReport(id, machine.seq + 1), token: machineToken }, true);
       scheduler.placeNow(machine);
-      await new Promise((resolve) => setImmediate(resolve));
+      await nextTurn();
     },
     task: (index = 0) => blockState.jobs.get(jobId)?.tasks.get(index),
   };
--- a/src/testing/held-store.ts
+++ b/src/testing/held-store.ts
@@ -1,4 +1,5 @@
 /** An in-memory state service whose answers the test holds back and releases one by one. */
+import { nextTurn } from '../base/turns.js';
 import { type CommitOutcome, StoreUnavailable } from '../store/client.js';
 import { type Condition, type Item, type ListPage, type Write, writtenKey } from '../wire/state.js';
 
@@ -80,5 +81,5 @@
 /** Everything that can go on without a new answer has gone on. */
 export async function settled(): Promise<void> {
   const turns = 5;
-  for (let turn = 0; turn < turns; turn++) await new Promise((resolve) => setImmediate(resolve));
+  for (let turn = 0; turn < turns; turn++) await nextTurn();
 }
