--- a/src/blocks/block-allocator.ts
+++ b/src/blocks/block-allocator.ts
@@ -4,8 +4,9 @@
 import { needOf } from '../placement/job-index.js';
 import type { Team } from '../settings/settings.js';
 import type { StoreClient } from '../store/client.js';
-import { type BlockRecord, type Shares, blockKey, blockRecord, leadKey } from '../wire/records.js';
+import { type BlockRecord, type Shares, leadKey } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
+import { BlockWriter } from './block-writer.js';
 import { Dispatcher, type DispatcherPorts } from './dispatcher.js';
 import { type Member, emptyBlock, nextBlocks } from './leasing.js';
 import { type TeamDemand, nextShares } from './shares.js';
@@ -29,8 +30,10 @@
   private readonly uncertain = new Map<number, number>();
   private readonly aliveSince = new Map<string, number>();
   private readonly dispatcher: Dispatcher;
+  private readonly writer: BlockWriter;
 
   constructor(private readonly ports: BlockAllocatorPorts) {
+    this.writer = new BlockWriter(ports);
     this.dispatcher = new Dispatcher(ports);
   }
 
@@ -101,12 +104,8 @@
     before: BlockRecord | undefined,
     record: BlockRecord,
   ): Promise<void> {
-    const { settings, registry, commits, log, clock, term } = this.ports;
-    const version = registry.version(block);
-    const outcome = await commits.commit(
-      [this.lead, { key: blockKey(block), version }],
-      [{ put: blockKey(block), value: blockRecord(record) }],
-    );
+    const { settings, log, clock, term } = this.ports;
+    const { outcome, version } = await this.writer.write(block, record, [this.lead]);
     if (outcome.kind === 'applied') {
       this.committed = Math.max(this.committed, outcome.revision);
       this.logOwner(block, before, record);
--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -13,10 +13,12 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type BlockRecord, blockKey, blockRecord, leastPageBytes } from '../wire/records.js';
+import { type LedgerLayout, ledgerLayout } from '../placement/ledger-layout.js';
+import type { BlockRecord } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { HealthMonitor } from '../workers/health-monitor.js';
 import type { MachineState } from '../workers/machine-state.js';
+import { BlockWriter } from './block-writer.js';
 import { giveTo } from './leasing.js';
 import type { Registry } from './registry.js';
 
@@ -42,31 +44,23 @@
   types: () => ReadonlyMap<string, MachineType>;
 }
 
-/** Changes a second that a controller's share allows for each page that its round is spread over. */
-const changesPerPage = 8;
-const mostPages = 8;
-
-/**
- * Every page that changes is read by every controller, so small pages cost less where the store takes changes enough. Where
- * it takes few, one page has to carry a whole round.
- */
-export function pagesPerValue({ state, controllers }: Pick<Settings, 'state' | 'controllers'>): number {
-  const most = Math.min(mostPages, Math.floor(state.valueBytes / leastPageBytes));
-  return Math.max(1, Math.min(most, Math.floor(state.writeRps / controllers / changesPerPage)));
-}
-
 interface HeldBlock {
   blockState: BlockState;
   scheduler: Scheduler;
   stop: AbortController;
+  layout: LedgerLayout;
 }
 
 /** The blocks that are leased to this controller, each with its state and its duties. */
 export class BlockLeases {
   private readonly held = new Map<number, HeldBlock>();
   private renewing = false;
+  /** Revisions that the copy must have reached before a block is begun again; infinite while its renewal is still to come. */
+  private readonly renewedAt = new Map<number, number>();
+  private readonly writer: BlockWriter;
 
   constructor(private readonly ports: BlockLeasesPorts) {
+    this.writer = new BlockWriter(ports);
     // A controller that is stopping must not go on judging machines that it no longer hears.
     const endAll = (): void => {
       for (const [block, heldBlock] of this.held) this.end(block, heldBlock);
@@ -91,19 +85,23 @@
     const { registry, settings, boot, signal } = this.ports;
     if (signal.aborted) return;
     const blocks = registry.blocks();
+    const layout = ledgerLayout(settings, registry.upgraded);
     for (const [block, heldBlock] of this.held) {
       const record = blocks.get(block);
       if (record?.owner !== settings.label || record.boot !== boot) this.end(block, heldBlock);
+      else if (heldBlock.layout.chunkTasks !== layout.chunkTasks) this.endForNewLayout(block, heldBlock);
       else if (heldBlock.blockState.apply(changes)) heldBlock.scheduler.poke();
     }
     for (const [block, record] of blocks) {
       if (record.owner !== settings.label) continue;
       const version = registry.version(block);
-      if (record.boot !== boot) {
-        if (!this.renewing) void this.renew(block, record, version);
+      const renewedAt = this.renewedAt.get(block) ?? 0;
+      if (record.boot !== boot || renewedAt === Infinity) {
+        if (!this.renewing) void this.renew(block, record);
         continue;
       }
-      const heldBlock = this.held.get(block) ?? this.begin(block);
+      if (version < renewedAt) continue;
+      const heldBlock = this.held.get(block) ?? this.begin(block, layout);
       if (heldBlock.blockState.version === version) continue;
       heldBlock.blockState.applyBlock(record, version);
       heldBlock.scheduler.poke();
@@ -114,38 +112,43 @@
    * A block leased to an earlier life of this process. That life knew which reports were the latest and may have left
    * transactions under way; fresh tokens and a new version of the block put both behind us.
    */
-  private async renew(block: number, record: BlockRecord, version: number): Promise<void> {
-    const { commits, settings, boot, log } = this.ports;
+  private async renew(block: number, record: BlockRecord): Promise<void> {
+    const { settings, boot, log } = this.ports;
     this.renewing = true;
     const renewed = { ...record, machines: record.machines.map((m) => ({ ...m })) };
     giveTo(renewed, { label: settings.label, boot, zone: settings.zone });
-    const outcome = await commits.commit(
-      [{ key: blockKey(block), version }],
-      [{ put: blockKey(block), value: blockRecord(renewed) }],
-    );
+    const { outcome } = await this.writer.write(block, renewed);
+    if (outcome.kind === 'applied') this.renewedAt.set(block, outcome.revision);
     log.info({ event: 'lease-renewed', block, outcome: outcome.kind }, 'lease of an earlier life renewed');
     // Whether it was applied, the watch tells; were it not, the next change tries again.
     this.renewing = false;
   }
 
-  private begin(block: number): HeldBlock {
+  /**
+   * All controllers read ledgers of the new layout by now. The block is begun anew, as after a restart: fresh tokens, and a
+   * new version that leaves what is still under way without its condition.
+   */
+  private endForNewLayout(block: number, heldBlock: HeldBlock): void {
+    this.end(block, heldBlock);
+    this.renewedAt.set(block, Infinity);
+  }
+
+  private begin(block: number, layout: LedgerLayout): HeldBlock {
     const { ports } = this;
-    const { settings, log, clock, wallClock, mirror, order } = ports;
+    const { settings, log, clock, wallClock, mirror, order, jobIndex } = ports;
     const stop = new AbortController();
     const { signal } = stop;
     // Every commit that waits for better times listens on it.
     setMaxListeners(0, signal);
-    const { valueBytes } = settings.state;
-    const pageBytes = valueBytes / pagesPerValue(settings);
     const blockState = new BlockState({
       block,
-      valueBytes,
-      pageBytes,
+      layout,
       reportMs: settings.reportMs,
       teams: settings.teams,
       clock,
       wallClock,
       order,
+      chainOf: (spec) => jobIndex.chainOf(spec),
     });
     blockState.load(mirror);
     const scheduler = new Scheduler({ ...ports, blockState, signal: stop.signal });
@@ -155,7 +158,7 @@
       signal: stop.signal,
       onFreed: () => scheduler.poke(),
     });
-    const heldBlock = { blockState, scheduler, stop };
+    const heldBlock = { blockState, scheduler, stop, layout };
     this.held.set(block, heldBlock);
     void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
     void runRoutine(`health-monitor-${block}`, signal, log, () => healthMonitor.run());
--- a/src/blocks/blocks.test.ts
+++ b/src/blocks/blocks.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
 import { JobIndex, type IndexedEntry } from '../placement/job-index.js';
-import { OrderOfWork, type Queued } from '../placement/order.js';
+import { OrderOfWork, type Queued, unchained } from '../placement/order.js';
 import { testSettings } from '../testing/settings.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { parseMachineTypes } from '../wire/cloud.js';
@@ -184,7 +184,12 @@
   const jobs = [large];
   const dispatched = (job: { parts: Part[] }): number => job.parts.reduce((sum, part) => sum + part.count, 0);
   const queued = (job: (typeof jobs)[number]): Queued => {
-    return { spec: job.spec, waiting: job.spec.tasks - dispatched(job), started: dispatched(job) > 0 };
+    return {
+      spec: job.spec,
+      chain: unchained(job.spec),
+      waiting: job.spec.tasks - dispatched(job),
+      started: dispatched(job) > 0,
+    };
   };
   let begunS = Infinity;
   let nowS = 0;
--- a/src/blocks/leasing.ts
+++ b/src/blocks/leasing.ts
@@ -82,6 +82,7 @@
 export function giveTo(record: BlockRecord, owner: Member): void {
   record.owner = owner.label;
   record.boot = owner.boot;
+  record.leaseToken = tokenOfThisCommit;
   for (const machine of record.machines) machine.token = tokenOfThisCommit;
 }
 
--- a/src/blocks/registry.ts
+++ b/src/blocks/registry.ts
@@ -1,35 +1,94 @@
 import type { Mirror } from '../store/mirror.js';
-import { type BlockRecord, type LeasedMachine, blockKey, parseAlive, parseBlock } from '../wire/records.js';
+import {
+  type BlockRecord,
+  type LeasedMachine,
+  type StoredValue,
+  blockKey,
+  currentFormat,
+  formatKey,
+  machinesPrefix,
+  namesItsMachines,
+  parseAlive,
+  parseBlock,
+  parseFormat,
+} from '../wire/records.js';
 import type { Member } from './leasing.js';
 
-interface Parsed {
-  version: number;
+/** A block as the copy of the store has it. */
+export interface StoredBlock {
   record: BlockRecord;
+  version: number;
+  /** Its record names the machines itself, as earlier versions write it. */
+  inline: boolean;
+  /** Versions of the pages of its machines, by number; they count only where the record names none itself. */
+  pages: ReadonlyMap<number, number>;
 }
 
+type ParsedBlock = Omit<StoredBlock, 'pages'> & { pages: Map<number, number> };
+
 /** Who holds which block, and which controllers are alive, as far as this controller's copy of the store knows. */
 export class Registry {
-  private readonly parsed = new Map<string, Parsed>();
+  private readonly parsed = new Map<number, ParsedBlock>();
   private machineOwners = new Map<string, { block: number; machine: LeasedMachine; owner: string }>();
   private ownersAt = '';
+  private allUpgraded = false;
 
-  constructor(private readonly mirror: Mirror) {}
+  /** `labels`: all controllers of the settings. */
+  constructor(
+    private readonly mirror: Mirror,
+    private readonly labels: string[] = [],
+  ) {}
+
+  /** Every controller of the settings has run with this format, and none comes back with an earlier one after that. */
+  get upgraded(): boolean {
+    this.allUpgraded ||=
+      this.mirror.ready &&
+      this.labels.every((label) => parseFormat(this.mirror.get(formatKey(label))?.value) >= currentFormat);
+    return this.allUpgraded;
+  }
 
   blocks(): Map<number, BlockRecord> {
     const blocks = new Map<number, BlockRecord>();
     for (const [key, entry] of this.mirror.below('block/')) {
-      let known = this.parsed.get(key);
-      if (known?.version !== entry.version) {
-        const record = parseBlock(entry.value, entry.version);
-        if (!record) continue;
-        known = { version: entry.version, record };
-        this.parsed.set(key, known);
-      }
-      blocks.set(Number(key.slice('block/'.length)), known.record);
+      const block = Number(key.slice('block/'.length));
+      const stored = this.parse(block, entry);
+      if (stored) blocks.set(block, stored.record);
     }
     return blocks;
   }
 
+  stored(block: number): StoredBlock | undefined {
+    const entry = this.mirror.get(blockKey(block));
+    return entry && this.parse(block, entry);
+  }
+
+  /** No page changes without its block's record, but for pages that are being prepared and do not count yet. */
+  private parse(block: number, entry: StoredValue): StoredBlock | undefined {
+    const known = this.parsed.get(block);
+    if (known?.version === entry.version && !known.inline) return known;
+    const pages = this.pagesOf(block);
+    const versions = new Map([...pages].map(([page, { version }]) => [page, version]));
+    if (known?.version === entry.version) {
+      known.pages = versions;
+      return known;
+    }
+    const record = parseBlock(entry.value, entry.version, pages);
+    if (!record) return undefined;
+    const inline = namesItsMachines(entry.value);
+    const stored = { record, version: entry.version, inline, pages: versions };
+    this.parsed.set(block, stored);
+    return stored;
+  }
+
+  private pagesOf(block: number): Map<number, StoredValue> {
+    const prefix = machinesPrefix(block);
+    const pages = [...this.mirror.below(prefix)].map(([key, entry]): [number, StoredValue] => [
+      Number(key.slice(prefix.length)),
+      entry,
+    ]);
+    return new Map(pages.sort(([a], [b]) => a - b));
+  }
+
   version(block: number): number {
     return this.mirror.version(blockKey(block));
   }
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -12,6 +12,8 @@
 import { BlockLeases } from './blocks/block-leases.js';
 import { CloudClient } from './cloud/client.js';
 import { Cancellations } from './intake/cancellations.js';
+import { Cascade } from './dependencies/cascade.js';
+import { EndReader } from './intake/end-reader.js';
 import { Intake } from './intake/intake.js';
 import { Fleet } from './ladder/fleet.js';
 import { type AnsweringFacts, answerUntil, answeringSpan, peerIsServed } from './leadership/answering.js';
@@ -63,6 +65,8 @@
 const startingReports = 2;
 /** A watch that has brought nothing of what others have seen for so long is lost; a slow one takes less than that. */
 const watchReports = 1.5;
+/** A job is said to wait for others only on knowledge that is younger than this part of the time for a cancellation. */
+const freshShare = 1 / 4;
 /** How long the peers are told of machines that have come up, or are proven gone. */
 const toldMs = 20_000;
 
@@ -105,6 +109,7 @@
   private readonly election: Election;
   private readonly peers: PeerLinks;
   private readonly intake: Intake;
+  private readonly cascade: Cascade;
   private fleet: Fleet | undefined;
   /** Machines that have reported to their owner. */
   private readonly up = new Set<string>();
@@ -125,8 +130,10 @@
     const store = new StoreClient(settings, clock, signal);
     const mirror = new Mirror(store, store.watchGapMs, probeMs);
     const cancellations = new Cancellations(() => mirror.firstRevision);
-    const jobIndex = new JobIndex(clock);
-    const registry = new Registry(mirror);
+    const jobIndex = new JobIndex(clock, (id) => parseEnd(mirror.get(endKey(id))?.value));
+    const ends = new EndReader({ store, mirror });
+    const labels = [settings.label, ...settings.peers.map((peer) => peer.label)];
+    const registry = new Registry(mirror, labels);
     const cloud = new CloudClient(settings, clock, signal);
     const stage = (lane: Lane, transactions: number): CommitStage =>
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
@@ -155,8 +162,16 @@
       random: () => uniformFloat64(generator),
       onTerm: (term) => this.lead(term),
     });
+    this.cascade = new Cascade({
+      ...shared,
+      isLeading: () => this.election.term !== undefined,
+      readEnd: (id) => ends.read(id),
+    });
     this.intake = new Intake({
       ...shared,
+      ...{ ends, cascade: this.cascade },
+      supportsDependencies: () => registry.upgraded,
+      knowsCancellations: () => clock() - this.knownUntil < settings.cancelMs * freshShare,
       writes: this.stages.intake,
       confirms: this.stages.confirm,
       isUp: () => this.isServing(),
@@ -223,6 +238,7 @@
       runRoutine('store-contact', signal, log, (s) => this.keepContact(s), probeMs),
       runRoutine('membership', signal, log, (s) => this.membership.run(s), probeMs),
       runRoutine('election', signal, log, (s) => this.election.run(s)),
+      runRoutine('cascade', signal, log, (s) => this.cascade.run(s), probeMs),
       this.peers.run(signal),
     ]);
   }
@@ -260,6 +276,7 @@
   /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch. */
   private home(spec: JobSpec): Part[] {
     const { registry, jobIndex, types, election } = this;
+    if (!jobIndex.isReadyWith(spec.dependencies ?? [])) return [];
     const alive = (label: string): boolean => registry.isAlive(label);
     // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
     if (!this.capacity || this.clock() - this.capacityAt > capacityEveryMs) {
@@ -299,7 +316,7 @@
     const { term } = this.election;
     if (term && status.token > term.token) term.end(`${status.from} leads with a higher token`);
     for (const [id, version] of status.cancelled) {
-      this.mirror.learnEnd(endKey(id), { value: endRecord('cancelled', 0), version });
+      this.mirror.learnEnd(endKey(id), { value: endRecord({ end: 'cancelled', tasks: 0 }), version });
     }
   }
 
--- a/src/intake/admission.ts
+++ b/src/intake/admission.ts
@@ -1,6 +1,15 @@
 import { type JobSpec, type MachineType, withinLimit } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 
+import { sizeOf } from '../wire/codec.js';
+import { jobRecord, leastPartsBytes } from '../wire/records.js';
+
+/** Why the record of a job would not fit a value of the state service. */
+export function whyTooLarge(job: JobSpec, valueBytes: number): string | undefined {
+  const bytes = sizeOf(jobRecord({ spec: job, parts: [] })) + leastPartsBytes;
+  return bytes > valueBytes ? 'the description of the job is too large' : undefined;
+}
+
 /** Why a well-formed job can never run, or undefined where it can. */
 export function whyImpossible(
   job: JobSpec,
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -12,9 +12,9 @@
   clock: Clock;
   wallClock: () => number;
   log: Log;
-  store: SubmissionPorts['store'] & JobStatusPorts['store'] & CancelPorts['store'];
+  store: SubmissionPorts['store'] & JobStatusPorts['store'];
   isUp: () => boolean;
-  jobIndex: Pick<JobIndex, 'progress'>;
+  jobIndex: JobIndex;
 }
 
 const retrySoonS = 1;
--- a/src/intake/job-canceller.ts
+++ b/src/intake/job-canceller.ts
@@ -2,12 +2,18 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Entry, Mirror } from '../store/mirror.js';
-import { endKey, endRecord, jobKey, parseJobRecord } from '../wire/records.js';
+import { cancellation, changesPerEnd } from '../dependencies/cascade.js';
+import type { JobIndex } from '../placement/job-index.js';
+import type { Settings } from '../settings/settings.js';
+import { endKey, jobKey, parseJobRecord } from '../wire/records.js';
 import type { JobStatusReader, JobStatusResult } from './job-status.js';
 
 export interface CancelPorts {
   store: Pick<StoreClient, 'failing' | 'read'>;
+  wallClock: () => number;
+  settings: Settings;
   mirror: Mirror;
+  jobIndex: Pick<JobIndex, 'openJob' | 'dependencies'>;
   /** Submissions and cancels. */
   writes: CommitStage;
 }
@@ -50,28 +56,41 @@
         return 'unavailable';
       }
       if (!record) return 'gone';
-      const attempt = await this.attempt(id, record);
+      const attempt = await this.attempt(id, record, attempts === 0);
       if (attempt !== 'changed') return attempt;
       record = undefined;
     }
     return 'changed';
   }
 
-  private async attempt(id: string, record: Entry): Promise<Attempt> {
-    const { mirror, writes } = this.ports;
-    const value = endRecord('cancelled', parseJobRecord(record.value)?.spec.tasks ?? 0);
+  private async attempt(id: string, record: Entry, withDependents: boolean): Promise<Attempt> {
+    const { mirror, writes, wallClock } = this.ports;
+    const tasks = parseJobRecord(record.value)?.spec.tasks ?? 0;
+    const own = cancellation(id, record.version, tasks, wallClock());
+    const all = [own, ...(withDependents ? this.cancellationsOfDependents(id) : [])];
     const outcome = await writes.commit(
-      [
-        { key: endKey(id), version: 0 },
-        { key: jobKey(id), version: record.version },
-      ],
-      [{ put: endKey(id), value }, { drop: jobKey(id) }],
+      all.flatMap(({ conditions }) => conditions),
+      all.flatMap((one) => one.writes),
     );
     if (outcome.kind === 'applied') {
-      mirror.learnEnd(endKey(id), { value, version: outcome.revision });
+      const ends = all.map((one) => one.writes[0]);
+      mirror.learnEnds(ends.map(({ put, value }) => ({ key: put, value, version: outcome.revision })));
       return 'cancelled';
     }
     if (outcome.kind !== 'conflict') return 'unavailable';
     return outcome.failed.includes(endKey(id)) ? 'gone' : 'changed';
   }
+
+  /** As many of the jobs that need this one as the transaction has room for; the cascade cancels the others. */
+  private cancellationsOfDependents(id: string): ReturnType<typeof cancellation>[] {
+    const { jobIndex, settings, wallClock } = this.ports;
+    const room = Math.floor(settings.state.txnOps / changesPerEnd) - 1;
+    return jobIndex.dependencies
+      .closure(id)
+      .slice(0, room)
+      .flatMap((dependent) => {
+        const job = jobIndex.openJob(dependent);
+        return job ? [cancellation(dependent, job.version, job.spec.tasks, wallClock())] : [];
+      });
+  }
 }
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -5,12 +5,14 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type Part, endKey, jobKey, jobRecord } from '../wire/records.js';
-import { whyImpossible } from './admission.js';
+import { type Part, endKey, endRecord, jobKey, jobRecord } from '../wire/records.js';
+import { whyImpossible, whyTooLarge } from './admission.js';
 import type { JobStatusReader } from './job-status.js';
+import type { DependencyGraph } from '../dependencies/dependency-graph.js';
 
 export interface SubmissionPorts {
   clock: Clock;
+  wallClock: () => number;
   settings: Settings;
   store: Pick<StoreClient, 'failing' | 'writeWaitMs'>;
   mirror: Mirror;
@@ -19,6 +21,10 @@
   types: () => ReadonlyMap<string, MachineType>;
   /** The block that a new job belongs to; empty where the leader has to place it. */
   home: (spec: JobSpec) => Part[];
+  jobIndex: { dependencies: Pick<DependencyGraph, 'isDoomedBy'> };
+  /** All controllers heed dependencies: an earlier version would start such a job at once. */
+  supportsDependencies: () => boolean;
+  knowsCancellations: () => boolean;
 }
 
 export type SubmissionResult =
@@ -55,8 +61,11 @@
     const { store, mirror, types, settings } = this.ports;
     if (this.isKnown(job.id)) return { kind: 'accepted-before' };
     if (types().size === 0 || !mirror.ready) return { kind: 'unavailable' };
-    const reason = whyImpossible(job, types().values(), settings.teams);
+    const reason =
+      whyImpossible(job, types().values(), settings.teams) ?? whyTooLarge(job, settings.state.valueBytes);
     if (reason !== undefined) return { kind: 'impossible', reason };
+    const unmet = await this.checkDependencies(job);
+    if (unmet) return unmet;
     const firstTry = this.underWay.get(job.id);
     if (firstTry) return asRepetition(await firstTry);
     if (store.failing) return { kind: 'unavailable' };
@@ -71,6 +80,22 @@
     }
   }
 
+  /** Why a job with these dependencies is not taken, if there is a reason. Evidence of acceptance comes from the state service. */
+  private async checkDependencies({ id, dependencies = [] }: JobSpec): Promise<SubmissionResult | undefined> {
+    if (dependencies.length === 0) return undefined;
+    if (dependencies.includes(id)) return { kind: 'impossible', reason: 'a job cannot need itself' };
+    const { supportsDependencies, knowsCancellations } = this.ports;
+    if (!supportsDependencies()) return { kind: 'unavailable' };
+    const found = await Promise.all(dependencies.map((dependency) => this.statuses.acceptance(dependency)));
+    // A repetition of an accepted job is never refused for what it names.
+    if (this.isKnown(id)) return { kind: 'accepted-before' };
+    if (found.includes('unavailable') || !knowsCancellations()) return { kind: 'unavailable' };
+    const unknown = dependencies[found.indexOf('never-accepted')];
+    return unknown === undefined
+      ? undefined
+      : { kind: 'impossible', reason: `${unknown} was never accepted` };
+  }
+
   private isKnown(id: string): boolean {
     return this.statuses.isRecorded(id) || this.statuses.knownEnd(id) !== undefined;
   }
@@ -85,7 +110,8 @@
   }
 
   private async record(job: JobSpec): Promise<SubmissionResult> {
-    const { mirror, writes, home } = this.ports;
+    const { mirror, writes, home, jobIndex } = this.ports;
+    if (jobIndex.dependencies.isDoomedBy(job.dependencies ?? [])) return this.recordAsCancelled(job);
     const key = jobKey(job.id);
     const value = jobRecord({ spec: job, parts: home(job) });
     const outcome = await writes.commit(
@@ -100,6 +126,24 @@
     mirror.learn(key, { value, version: outcome.revision });
     return { kind: 'created' };
   }
+
+  /** A job that needs a cancelled one is accepted all the same, and cancelled with it. */
+  private async recordAsCancelled(job: JobSpec): Promise<SubmissionResult> {
+    const { mirror, writes, wallClock } = this.ports;
+    const key = endKey(job.id);
+    const value = endRecord({ end: 'cancelled', tasks: job.tasks, at: wallClock() });
+    const outcome = await writes.commit(
+      [
+        { key, version: 0 },
+        { key: jobKey(job.id), version: 0 },
+      ],
+      [{ put: key, value }],
+    );
+    if (outcome.kind === 'conflict') return { kind: 'accepted-before' };
+    if (outcome.kind !== 'applied') return { kind: 'unavailable' };
+    mirror.learnEnd(key, { value, version: outcome.revision });
+    return { kind: 'created' };
+  }
 }
 
 function asRepetition(firstTry: SubmissionResult): SubmissionResult {
--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -5,7 +5,15 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type AliveRecord, aliveKey, parseAlive } from '../wire/records.js';
+import {
+  type AliveRecord,
+  aliveKey,
+  currentFormat,
+  formatKey,
+  formatRecord,
+  parseAlive,
+  parseFormat,
+} from '../wire/records.js';
 
 export interface MembershipPorts {
   clock: Clock;
@@ -69,7 +77,9 @@
         }
         // A late message of an earlier life may have hung our key on its own grant.
         const alive = parseAlive(mirror.get(aliveKey(settings.label))?.value);
-        if (mirror.ready && alive?.boot !== this.ports.boot) await this.announce(this.id);
+        if (!mirror.ready) continue;
+        if (alive?.boot !== this.ports.boot) await this.announce(this.id);
+        await this.announceFormat();
       }
       log.info({ event: 'grant-lost', grant: this.id }, 'grant ended');
     } finally {
@@ -82,4 +92,12 @@
     const value: AliveRecord = { boot, zone: settings.zone };
     await commits.commit([], [{ put: aliveKey(settings.label), value, lease: grant }]);
   }
+
+  /** Kept for good: a controller that has run with this format does not come back with an earlier one. */
+  private async announceFormat(): Promise<void> {
+    const { commits, settings, mirror } = this.ports;
+    const key = formatKey(settings.label);
+    if (parseFormat(mirror.get(key)?.value) >= currentFormat) return;
+    await commits.commit([{ key, version: mirror.version(key) }], [{ put: key, value: formatRecord() }]);
+  }
 }
--- a/src/model/types.ts
+++ b/src/model/types.ts
@@ -21,6 +21,8 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts; records of earlier versions lack the field. */
+  dependencies?: string[];
   /** Time of day of acceptance in ms, for deadlines only: it may be off by the clocks' error. */
   acceptedAt: number;
 }
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '../base/clock.js';
 import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
-import type { Mirror } from '../store/mirror.js';
+import type { Entry, Mirror } from '../store/mirror.js';
 import {
   type BlockRecord,
+  type LedgerEntry,
   type Shares,
   endKey,
   endedJob,
@@ -12,25 +13,27 @@
   ledgerPrefix,
   parseLedgerKey,
   parseLedgerPage,
-  tasksPerChunk,
 } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
 import { JobState, type JobFacts, type Task } from './job-state.js';
 import { Ledger } from './ledger.js';
-import { OrderOfWork, type Queued } from './order.js';
+import { chunkTasksOf, withoutCovered } from './ledger-entries.js';
+import type { LedgerLayout } from './ledger-layout.js';
+import { type ChainFacts, OrderOfWork, type Queued, unchained } from './order.js';
 import { Usage } from './placement-round.js';
 
 export interface BlockStateOptions {
   block: number;
-  valueBytes: number;
-  /** How large a page of the ledger may be; a value of the store where this is not given. */
-  pageBytes?: number;
+  /** How the ledger is laid out; where it has smaller entries already, these keep their size. */
+  layout: LedgerLayout;
   reportMs: number;
   clock: Clock;
   wallClock?: () => number;
   order?: OrderOfWork;
+  /** What follows for a job from those that it needs and those that need it. */
+  chainOf?: (spec: JobSpec) => ChainFacts;
   /** The teams of the settings: the block may use a share of the limits that they have. */
   teams: ReadonlyMap<string, Team>;
 }
@@ -55,13 +58,15 @@
   private waiting: JobState[] | undefined;
   private sortedAt = -Infinity;
   private readonly order: OrderOfWork;
+  private layout: LedgerLayout;
   readonly ledger: Ledger;
   private blockVersion = 0;
   private shares: Shares = {};
 
   constructor(private readonly options: BlockStateOptions) {
     this.order = options.order ?? new OrderOfWork([]);
-    this.ledger = new Ledger(options.pageBytes ?? options.valueBytes);
+    this.layout = options.layout;
+    this.ledger = new Ledger(options.layout.pageBytes);
   }
 
   get block(): number {
@@ -73,9 +78,12 @@
   }
 
   load(mirror: Mirror): void {
+    const pages = [...mirror.below(ledgerPrefix(this.block))].flatMap(([key, entry]) =>
+      storedPage(key, entry),
+    );
+    this.layout = layoutFor(this.options.layout, pages);
     for (const [key, entry] of mirror.below('job/')) this.setJob(key, entry.value, entry.version);
-    for (const [key, entry] of mirror.below(ledgerPrefix(this.block)))
-      this.addPage(key, entry.value, entry.version);
+    this.loadLedger(pages);
     for (const job of this.jobs.values()) {
       const end = parseEnd(mirror.get(endKey(job.id))?.value);
       if (end) this.endJob(job, end.end);
@@ -137,8 +145,9 @@
     const open = [...this.jobs.values()].flatMap((job) =>
       job.waiting > 0 && job.spec ? [{ job, spec: job.spec }] : [],
     );
+    const chainOf = this.options.chainOf ?? unchained;
     const queued = ({ job, spec }: { job: JobState; spec: JobSpec }): Queued => ({
-      ...{ spec, waiting: job.waiting },
+      ...{ spec, chain: chainOf(spec), waiting: job.waiting },
       started: job.active + job.doneCount > 0,
     });
     this.waiting = this.order.sorted(open, queued, (wallClock ?? Date.now)()).map(({ job }) => job);
@@ -321,25 +330,74 @@
     return job;
   }
 
-  private addPage(key: string, value: unknown, version: number): void {
-    const at = parseLedgerKey(key);
-    if (!at) return;
-    const page = this.ledger.page(at.page);
-    page.version = version;
-    for (const entry of parseLedgerPage(value)) {
-      let job = this.jobs.get(entry.id);
-      if (!job) {
-        job = JobState.leftover(entry, this.place);
-        this.jobs.set(entry.id, job);
+  /** Pages with entries of another size are retired: their tasks are recorded anew in entries of this layout. */
+  private loadLedger(pages: StoredPage[]): void {
+    const byJob = new Map<string, { entry: LedgerEntry; page: StoredPage }[]>();
+    for (const page of pages) {
+      this.addPage(page);
+      for (const entry of page.entries) {
+        const ofJob = byJob.get(entry.id);
+        if (ofJob) ofJob.push({ entry, page });
+        else byJob.set(entry.id, [{ entry, page }]);
+      }
+    }
+    for (const found of byJob.values()) {
+      const pageOf = new Map(found.map(({ entry, page }) => [`${chunkTasksOf(entry)}/${entry.chunk}`, page]));
+      for (const entry of withoutCovered(found.map((one) => one.entry))) {
+        const page = pageOf.get(`${chunkTasksOf(entry)}/${entry.chunk}`);
+        if (page) this.loadEntry(entry, page);
       }
-      for (const task of job.load(entry, page)) this.put(task, this.machine(task.machine));
     }
   }
 
-  private get place(): Pick<JobFacts, 'block' | 'perChunk' | 'ledger'> {
-    const { block, ledger } = this;
-    return { block, ledger, perChunk: tasksPerChunk(this.options.pageBytes ?? this.options.valueBytes) };
+  private addPage({ index, version, entries }: StoredPage): void {
+    if (entries.every((entry) => chunkTasksOf(entry) === this.entryTasks))
+      this.ledger.page(index).version = version;
+    else this.ledger.retired.set(index, { index, version, unwritten: new Set(), busy: false });
+  }
+
+  private loadEntry(entry: LedgerEntry, { index }: StoredPage): void {
+    let job = this.jobs.get(entry.id);
+    if (!job) {
+      job = JobState.leftover(entry, this.place);
+      this.jobs.set(entry.id, job);
+    }
+    const retired = this.ledger.retired.get(index);
+    const adopted = retired && job.adopt(entry, this.options.clock());
+    for (const chunk of adopted?.chunks ?? []) retired?.unwritten.add(chunk);
+    const active = adopted?.active ?? job.load(entry, this.ledger.page(index));
+    for (const task of active) this.put(task, this.machine(task.machine));
+  }
+
+  /** The size that entries of this layout have in the ledger. */
+  private get entryTasks(): number {
+    return this.layout.inherited ? Infinity : this.layout.chunkTasks;
   }
+
+  private get place(): Pick<JobFacts, 'block' | 'perChunk' | 'sizedEntries' | 'ledger'> {
+    const { block, ledger, layout } = this;
+    return { block, ledger, perChunk: layout.chunkTasks, sizedEntries: !layout.inherited };
+  }
+}
+
+/** A page of the ledger as the copy of the store has it. */
+interface StoredPage {
+  index: number;
+  version: number;
+  entries: LedgerEntry[];
+}
+
+function storedPage(key: string, { value, version }: Entry): StoredPage[] {
+  const at = parseLedgerKey(key);
+  return at ? [{ index: at.page, version, entries: parseLedgerPage(value) }] : [];
+}
+
+/** Entries are never made larger: a larger one would count for less than the smaller ones that it replaces. */
+function layoutFor(layout: LedgerLayout, pages: StoredPage[]): LedgerLayout {
+  const sizes = pages.flatMap(({ entries }) => entries.map(chunkTasksOf));
+  const smallest = sizes.reduce((least, size) => Math.min(least, size), Infinity);
+  const wanted = layout.inherited ? Infinity : layout.chunkTasks;
+  return smallest < wanted ? { ...layout, chunkTasks: smallest, inherited: false } : layout;
 }
 
 function refOf(task: Task): { job: string; index: number } {
--- a/src/placement/job-index.ts
+++ b/src/placement/job-index.ts
@@ -1,15 +1,20 @@
+import { type DependencyState, DependencyGraph } from '../dependencies/dependency-graph.js';
 import type { JobSpec, Resources } from '../model/types.js';
 import type { Mirror } from '../store/mirror.js';
 import {
+  type EndRecord,
   type JobRecord,
   type LedgerEntry,
+  endedJob,
+  parseEnd,
   parseJobRecord,
   parseLedgerKey,
   parseLedgerPage,
   rangesSize,
 } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
-import type { OrderOfWork, Queued } from './order.js';
+import { withoutCovered } from './ledger-entries.js';
+import type { ChainFacts, OrderOfWork, Queued } from './order.js';
 
 /** What a block has on record of a job. */
 export interface IndexedEntry extends LedgerEntry {
@@ -20,13 +25,17 @@
 export interface IndexedJob extends JobRecord {
   id: string;
   version: number;
-  /** When this controller first saw it, by its own clock. */
+  /** When this controller first saw it ready to run, by its own clock. */
   seenAt: number;
 }
 
 /** All open jobs and all tasks on machines, as the store has them: the same on every controller, a moment late. */
 export class JobIndex {
+  /** Open jobs whose dependencies are done: all others take nothing of anything. */
   readonly jobs = new Map<string, IndexedJob>();
+  /** Open jobs that wait for others to be done. */
+  private readonly blocked = new Map<string, IndexedJob>();
+  readonly dependencies: DependencyGraph;
   private readonly pages = new Map<string, IndexedEntry[]>();
   /** Entries by job; those of an ended job stay until its tasks have left their machines. */
   private readonly byJob = new Map<string, Set<IndexedEntry>>();
@@ -34,10 +43,18 @@
   /** Pages that have changed since anybody asked: of several versions only the last has to be read. */
   private readonly unread = new Map<string, unknown>();
 
-  constructor(private readonly clock: () => number) {}
+  /** `endOf`: ends of jobs that this controller knows already. */
+  constructor(
+    private readonly clock: () => number,
+    endOf?: (id: string) => EndRecord | undefined,
+  ) {
+    this.dependencies = new DependencyGraph(clock, endOf);
+  }
 
   load(mirror: Mirror): void {
     this.jobs.clear();
+    this.blocked.clear();
+    this.dependencies.clear();
     this.pages.clear();
     this.byJob.clear();
     this.unread.clear();
@@ -49,21 +66,49 @@
   apply(changes: Change[]): void {
     for (const change of changes) {
       if (!change.deleted) this.set(change.key, change.value, change.version);
-      else if (change.key.startsWith('job/')) this.jobs.delete(change.key.slice('job/'.length));
+      else if (change.key.startsWith('job/')) this.remove(change.key.slice('job/'.length));
       else if (change.key.startsWith('run/')) this.unread.set(change.key, undefined);
     }
   }
 
+  /** The record of the job is known here, whether or not it is ready. */
+  isOpen(id: string): boolean {
+    return this.jobs.has(id) || this.blocked.has(id);
+  }
+
+  /** An open job by its id, whether or not it is ready. */
+  openJob(id: string): IndexedJob | undefined {
+    return this.jobs.get(id) ?? this.blocked.get(id);
+  }
+
+  /** A job with these dependencies could run at once. */
+  isReadyWith(dependencies: Iterable<string>): boolean {
+    return this.dependencies.areDone(dependencies);
+  }
+
+  dependencyState(id: string): DependencyState {
+    return this.dependencies.stateOf(id, (other) => this.isOpen(other));
+  }
+
+  chainOf(spec: JobSpec): ChainFacts {
+    return { readyAt: this.dependencies.readyAt(spec), ...this.dependencies.demandOn(spec) };
+  }
+
   entries(id: string): Iterable<IndexedEntry> {
     this.read();
-    return this.byJob.get(id) ?? [];
+    const entries = this.byJob.get(id);
+    if (!entries) return [];
+    const [first, ...others] = entries;
+    const sameSize = others.every((entry) => entry.chunkTasks === first?.chunkTasks);
+    return sameSize ? entries : newestOfEachBlock(entries);
   }
 
   *activeTasks(): Iterable<{ id: string; page: IndexedEntry; machine: string }> {
     this.read();
-    for (const entries of this.pages.values()) {
-      for (const page of entries)
-        for (const [, , machine] of page.active) yield { id: page.id, page, machine };
+    for (const id of this.byJob.keys()) {
+      for (const page of this.entries(id)) {
+        for (const [, , machine] of page.active) yield { id, page, machine };
+      }
     }
   }
 
@@ -104,7 +149,8 @@
 
   queued({ id, spec }: IndexedJob): Queued {
     const { done, active } = this.progress(id);
-    return { spec, waiting: spec.tasks - done - active, started: done + active > 0 };
+    const chain = this.chainOf(spec);
+    return { spec, chain, waiting: spec.tasks - done - active, started: done + active > 0 };
   }
 
   /** Waiting tasks of the job by block; those that are not dispatched yet belong to none. */
@@ -128,13 +174,39 @@
     if (key.startsWith('job/')) {
       const record = parseJobRecord(value);
       if (!record) return;
-      const { id } = record.spec;
-      this.jobs.set(id, { ...record, id, version, seenAt: this.jobs.get(id)?.seenAt ?? this.clock() });
+      this.setJob(record, version);
       return;
     }
+    const ended = endedJob(key);
+    const end = ended === undefined ? undefined : parseEnd(value);
+    if (ended !== undefined && end) this.noteEnd(ended, end);
     if (key.startsWith('run/')) this.unread.set(key, value);
   }
 
+  private setJob(record: JobRecord, version: number): void {
+    const { id } = record.spec;
+    this.dependencies.add(record.spec);
+    const seenAt = this.jobs.get(id)?.seenAt ?? this.clock();
+    const job = { ...record, id, version, seenAt };
+    if (this.dependencies.isReady(id)) this.jobs.set(id, job);
+    else this.blocked.set(id, job);
+  }
+
+  private noteEnd(id: string, end: EndRecord): void {
+    for (const ready of this.dependencies.noteEnd(id, end)) {
+      const job = this.blocked.get(ready);
+      if (!job) continue;
+      this.blocked.delete(ready);
+      this.jobs.set(ready, { ...job, seenAt: this.clock() });
+    }
+  }
+
+  private remove(id: string): void {
+    this.jobs.delete(id);
+    this.blocked.delete(id);
+    this.dependencies.remove(id);
+  }
+
   private read(): void {
     for (const [key, value] of this.unread) {
       const block = parseLedgerKey(key)?.block ?? -1;
@@ -163,6 +235,18 @@
   }
 }
 
+function newestOfEachBlock(entries: Iterable<IndexedEntry>): IndexedEntry[] {
+  const byBlock = new Map<number, IndexedEntry[]>();
+  for (const entry of entries) {
+    const ofBlock = byBlock.get(entry.block);
+    if (ofBlock) ofBlock.push(entry);
+    else byBlock.set(entry.block, [entry]);
+  }
+  return [...byBlock.values()]
+    .flatMap((ofBlock) => withoutCovered(ofBlock))
+    .map((entry) => ({ ...entry, doneCount: rangesSize(entry.done) }));
+}
+
 export function needOf(from: Pick<JobSpec, 'cpus' | 'accelerators' | 'memoryGb'>): Resources {
   const { cpus, accelerators, memoryGb } = from;
   return { cpus, accelerators, memoryGb };
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -33,9 +33,13 @@
   version: number;
   block: number;
   perChunk: number;
+  /** Entries say how many tasks they cover. */
+  sizedEntries?: boolean;
   ledger: Ledger;
 }
 
+type JobPlace = Pick<JobFacts, 'block' | 'perChunk' | 'sizedEntries' | 'ledger'>;
+
 /**
  * What one block has of a job: for most jobs all its tasks, else the ranges that the leader has dispatched to it. Tasks
  * that never started exist only as numbers, so 100,000 of them cost little.
@@ -47,6 +51,7 @@
   readonly need: Resources;
   readonly block: number;
   private readonly perChunk: number;
+  private readonly sizedEntries: boolean;
   private readonly ledger: Ledger;
   version: number;
   /** The version of its record that the store has turned down: no task is placed until the watch brings a newer one. */
@@ -81,16 +86,17 @@
     this.version = facts.version;
     this.block = facts.block;
     this.perChunk = facts.perChunk;
+    this.sizedEntries = facts.sizedEntries ?? false;
     this.ledger = facts.ledger;
   }
 
-  static of(spec: JobSpec, version: number, at: Pick<JobFacts, 'block' | 'perChunk' | 'ledger'>): JobState {
+  static of(spec: JobSpec, version: number, at: JobPlace): JobState {
     const { id, team, cpus, accelerators, memoryGb } = spec;
     return new JobState({ id, spec, team, need: { cpus, accelerators, memoryGb }, version, ...at });
   }
 
   /** A job whose record has gone: it has ended, yet tasks of it may still be on machines. */
-  static leftover(entry: LedgerEntry, at: Pick<JobFacts, 'block' | 'perChunk' | 'ledger'>): JobState {
+  static leftover(entry: LedgerEntry, at: JobPlace): JobState {
     const { id, team, cpus, accelerators, memoryGb } = entry;
     const need = { cpus, accelerators, memoryGb };
     const job = new JobState({ id, spec: undefined, team, need, version: 0, ...at });
@@ -153,6 +159,25 @@
   load(entry: LedgerEntry, page: LedgerPage): Task[] {
     const most = this.spec ? this.chunkSize : entry.active.length + entry.waiting.length;
     this.chunks.set(entry.chunk, this.ledger.add(this, entry.chunk, most, page));
+    return this.take(entry);
+  }
+
+  /**
+   * Takes over what an entry of another size says, and returns the tasks that are on machines with the chunks that have to
+   * record it from now on.
+   */
+  adopt(entry: LedgerEntry, now: number): { active: Task[]; chunks: Set<Chunk> } {
+    const active = this.take(entry);
+    const indices = [
+      ...entry.active.map(([index]) => index),
+      ...entry.waiting.map(([index]) => index),
+      ...fromRanges(entry.done),
+    ];
+    const chunks = new Set(indices.map((index) => this.soil(index, 'soon', now)));
+    return { active, chunks };
+  }
+
+  private take(entry: LedgerEntry): Task[] {
     for (const index of fromRanges(entry.done)) {
       this.done.add(index);
       this.committed.add(index);
@@ -209,7 +234,8 @@
     this.tasks.delete(index);
     this.done.add(index);
     this.failures = 0;
-    this.soil(index, 'soon', now);
+    // Other blocks' owners wait for the last task of this block's part.
+    this.soil(index, this.complete && !this.whole ? 'now' : 'soon', now);
     return true;
   }
 
@@ -230,8 +256,9 @@
       if (task.phase !== 'waiting') active.push([task.index, task.attempt, task.machine]);
       else if (task.attempt > 0) waiting.push([task.index, task.attempt]);
     }
-    const { id, team, need } = this;
-    return { entry: { id, chunk, team, ...need, active, waiting, done: toRanges(done) }, done };
+    const { id, team, need, sizedEntries } = this;
+    const size = sizedEntries ? { chunkTasks: this.perChunk } : {};
+    return { entry: { id, chunk, team, ...need, active, waiting, done: toRanges(done), ...size }, done };
   }
 
   /** Tasks of the chunk that are, were or are about to be on a machine, and are not done. */
@@ -250,6 +277,7 @@
       chunk.page.drop(chunk);
       chunk.page.soil('soon', now);
     }
+    this.ledger.noteWritten(this.chunks.values());
     this.chunks.clear();
   }
 
@@ -265,12 +293,13 @@
     return Math.min(this.perChunk, this.spec?.tasks ?? this.perChunk);
   }
 
-  private soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): void {
+  private soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): Chunk {
     const at = this.chunkOf(index);
     let chunk = this.chunks.get(at);
     if (!chunk) this.chunks.set(at, (chunk = this.ledger.add(this, at, this.chunkSize)));
     chunk.entry = undefined;
     chunk.page.soil(dirt, now);
+    return chunk;
   }
 
   private touch(index: number, attempt: number): Task {
--- a/src/placement/lateness.ts
+++ b/src/placement/lateness.ts
@@ -35,9 +35,10 @@
   return slipping;
 }
 
-function misses({ kind, withinS, times }: Objective, { spec, waiting }: Queued, now: number): boolean {
-  const ageS = (now - spec.acceptedAt) / 1000;
-  if (kind === 'deadline') return spec.deadlineS !== null && ageS > spec.deadlineS * (times ?? 1);
+function misses({ kind, withinS, times }: Objective, { spec, chain, waiting }: Queued, now: number): boolean {
+  const submittedS = (now - spec.acceptedAt) / 1000;
+  if (kind === 'deadline') return spec.deadlineS !== null && submittedS > spec.deadlineS * (times ?? 1);
+  const ageS = (now - chain.readyAt) / 1000;
   if (withinS === undefined) return false;
   return (kind === 'finished' || (kind === 'wait' && waiting > 0)) && ageS > withinS;
 }
--- /dev/null
+++ b/src/placement/ledger-entries.ts
@@ -0,0 +1,40 @@
+/** Entries of different sizes that cover the same tasks. */
+import { type LedgerEntry, fromRanges, toRanges } from '../wire/records.js';
+
+interface TaskRange {
+  first: number;
+  end: number;
+}
+
+/** Entries of earlier versions, which do not say how many tasks they cover, are the largest. */
+export function chunkTasksOf({ chunkTasks }: Pick<LedgerEntry, 'chunkTasks'>): number {
+  return chunkTasks ?? Infinity;
+}
+
+/**
+ * The entries of one job in one block without what smaller ones cover: a block is moved to a smaller size entry by entry,
+ * and each smaller entry says all there is to know of its tasks.
+ */
+export function withoutCovered<E extends LedgerEntry>(entries: Iterable<E>): E[] {
+  const all = [...entries];
+  const sizes = [...new Set(all.map(chunkTasksOf))].sort((a, b) => a - b);
+  if (sizes.length < 2) return all;
+  const newest: E[] = [];
+  const covered: TaskRange[] = [];
+  for (const size of sizes) {
+    const ofSize = all.filter((entry) => chunkTasksOf(entry) === size);
+    newest.push(...ofSize.map((entry) => without(entry, covered)));
+    covered.push(...ofSize.map(({ chunk }) => ({ first: chunk * size, end: (chunk + 1) * size })));
+  }
+  return newest;
+}
+
+function without<E extends LedgerEntry>(entry: E, covered: TaskRange[]): E {
+  const isLeft = (index: number): boolean => !covered.some(({ first, end }) => index >= first && index < end);
+  return {
+    ...entry,
+    active: entry.active.filter(([index]) => isLeft(index)),
+    waiting: entry.waiting.filter(([index]) => isLeft(index)),
+    done: toRanges([...fromRanges(entry.done)].filter(isLeft)),
+  };
+}
--- a/src/placement/ledger.ts
+++ b/src/placement/ledger.ts
@@ -36,7 +36,17 @@
   }
 }
 
+/** A stored page with entries of another size, which is dropped once smaller entries record all that it says. */
+export interface RetiredPage {
+  readonly index: number;
+  version: number;
+  /** Chunks that have yet to be written. */
+  readonly unwritten: Set<Chunk>;
+  busy: boolean;
+}
+
 export interface PageSnapshot {
+  chunks: Chunk[];
   entries: LedgerEntry[];
   /** What they take at the most: measuring them each time would cost more than writing them. */
   bytes: number;
@@ -50,6 +60,7 @@
  */
 export class Ledger {
   readonly pages = new Map<number, LedgerPage>();
+  readonly retired = new Map<number, RetiredPage>();
 
   constructor(private readonly pageBytes: number) {}
 
@@ -84,9 +95,22 @@
   private withRoom(bytes: number): LedgerPage {
     for (const page of this.pages.values()) if (page.bytes + bytes <= this.pageBytes) return page;
     let index = 0;
-    while (this.pages.has(index)) index++;
+    while (this.pages.has(index) || this.retired.has(index)) index++;
     return this.page(index);
   }
+
+  /** The chunks stand in the store, or need no record any more. */
+  noteWritten(chunks: Iterable<Chunk>): void {
+    if (this.retired.size === 0) return;
+    for (const chunk of chunks) {
+      for (const { unwritten } of this.retired.values()) unwritten.delete(chunk);
+    }
+  }
+
+  /** Retired pages that say nothing which is not recorded elsewhere. */
+  dispensable(): RetiredPage[] {
+    return [...this.retired.values()].filter(({ unwritten, busy }) => unwritten.size === 0 && !busy);
+  }
 }
 
 /**
@@ -94,7 +118,7 @@
  * can be conditioned on so many jobs only: tasks of further ones are taken off, to be placed again.
  */
 export function snapshot(page: LedgerPage, mostJobs: number, takeOff: (task: Task) => void): PageSnapshot {
-  const shot: PageSnapshot = { entries: [], bytes: 0, placing: [], done: [] };
+  const shot: PageSnapshot = { chunks: [...page.chunks], entries: [], bytes: 0, placing: [], done: [] };
   const jobs = new Set<JobState>();
   for (const chunk of page.chunks) {
     const { job } = chunk;
--- a/src/placement/order.test.ts
+++ b/src/placement/order.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
 import { lateClasses } from './lateness.js';
-import { OrderOfWork, type Queued } from './order.js';
+import { OrderOfWork, type Queued, unchained } from './order.js';
 
 const objectives = [
   { kind: 'wait', jobClass: 'quick', share: 0.9, withinS: 60, times: undefined },
@@ -15,7 +15,7 @@
     acceptedAt: acceptedS * 1000,
     ...change,
   } as JobSpec;
-  return { spec, waiting, started: false };
+  return { spec, chain: unchained(spec), waiting, started: false };
 }
 
 function ids(jobs: Queued[], nowS: number): string[] {
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type JobSpec, type Order, type TaskState, taskKey } from '../model/types.js';
-import { createBlockStage, emptyReport, jobSpec, valueBytes } from '../testing/block-stage.js';
+import { createBlockStage, emptyReport, jobSpec, valueBytes, valueLayout } from '../testing/block-stage.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { testSettings } from '../testing/settings.js';
 import { parseMachineTypes } from '../wire/cloud.js';
@@ -188,7 +188,7 @@
   let now = 0;
   const blockState = new BlockState({
     block: 0,
-    valueBytes,
+    layout: valueLayout,
     reportMs: 1000,
     clock: () => now,
     teams: new Map(),
@@ -238,7 +238,7 @@
   let now = 0;
   const blockState = new BlockState({
     block: 0,
-    valueBytes,
+    layout: valueLayout,
     reportMs: 1000,
     clock: () => now,
     teams: new Map(),
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -13,11 +13,12 @@
 import type { BlockState } from './block-state.js';
 import type { JobIndex } from './job-index.js';
 import type { JobState, Task } from './job-state.js';
-import { type LedgerPage, type PageSnapshot, snapshot } from './ledger.js';
+import { type LedgerPage, type PageSnapshot, type RetiredPage, snapshot } from './ledger.js';
 import { placeTasks } from './placement-round.js';
 
 export interface SchedulerPorts {
   clock: Clock;
+  wallClock: () => number;
   log: Log;
   settings: Settings;
   store: StoreClient;
@@ -194,10 +195,37 @@
   private persist(): void {
     const { blockState, commits, clock } = this.ports;
     if (!this.mayCommit()) return;
-    for (const page of blockState.ledger.pages.values()) {
+    const { ledger } = blockState;
+    const now = clock();
+    const isDue = (page: LedgerPage): boolean =>
+      page.dirt === 'soon' && now - page.dirtySince > this.gatherMs;
+    // What something waits for goes before what can be learned again.
+    const pressing = [...ledger.pages.values()].filter((page) => page.dirt === 'now');
+    for (const page of [...pressing, ...[...ledger.pages.values()].filter(isDue)]) {
       if (commits.full) return;
-      const due = page.dirt === 'now' || (page.dirt === 'soon' && clock() - page.dirtySince > this.gatherMs);
-      if (due && !page.busy) page.commit = this.commitPage(page);
+      if (!page.busy) page.commit = this.commitPage(page);
+    }
+    for (const page of ledger.dispensable()) void this.dropPage(page);
+  }
+
+  private async dropPage(page: RetiredPage): Promise<void> {
+    const { blockState, commits, store, settings, signal, log } = this.ports;
+    const key = ledgerKey(blockState.block, page.index);
+    page.busy = true;
+    const outcome = await commits.commit([this.block, { key, version: page.version }], [{ drop: key }]);
+    if (outcome.kind === 'applied') {
+      blockState.ledger.retired.delete(page.index);
+      return;
+    }
+    await sleep(settings.reportMs / 4, signal);
+    try {
+      const stored = await store.read(key);
+      if (stored) page.version = stored.version;
+      else blockState.ledger.retired.delete(page.index);
+    } catch (error) {
+      log.debug({ event: 'page-read-failed', key, err: error }, 'page not read');
+    } finally {
+      page.busy = false;
     }
   }
 
@@ -248,6 +276,7 @@
     page.busy = false;
     if (outcome.kind === 'applied') {
       page.version = outcome.revision;
+      blockState.ledger.noteWritten(shot.chunks);
       for (const task of shot.placing) {
         // Its machine may have gone meanwhile, and another been chosen, which this commit knows nothing of.
         if (task.phase !== 'placing' || task.attempt !== attempts.get(task)) continue;
@@ -289,15 +318,14 @@
     const { commits, blockState, settings, signal } = this.ports;
     job.ending = true;
     this.ending++;
+    const tasks = job.spec?.tasks ?? job.doneCount;
+    const end = endRecord({ end: 'done', tasks, at: this.ports.wallClock() });
     const outcome = await commits.commit(
       [
         { key: endKey(job.id), version: 0 },
         { key: jobKey(job.id), version: job.version },
       ],
-      [
-        { put: endKey(job.id), value: endRecord('done', job.spec?.tasks ?? job.doneCount) },
-        { drop: jobKey(job.id) },
-      ],
+      [{ put: endKey(job.id), value: end }, { drop: jobKey(job.id) }],
     );
     if (outcome.kind === 'applied') blockState.endJob(job, 'done');
     this.ending--;
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -39,7 +39,12 @@
       [],
     ),
     workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count }),
+    state: v.object({
+      ...{ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count },
+      next: v.nullish(
+        v.partial(v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count })),
+      ),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.object({ cores: positive, mem_mb: positive, max_sockets: count }),
     clock_error_ms: v.optional(amount, 0),
@@ -62,6 +67,19 @@
   times: number | undefined;
 }
 
+/** Limits of the state service. */
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  /** The smaller of the present and the coming limits: what is written keeps to it from the start. */
+  valueBytes: number;
+  txnOps: number;
+  /** Present size of a value, by which earlier versions lay out what they write. */
+  presentValueBytes: number;
+  /** The part of the present rates that is left once the coming limits hold. */
+  nextRateShare: number;
+}
+
 /** The platform's settings under our own names; durations in milliseconds. */
 export interface Settings {
   label: string;
@@ -78,7 +96,7 @@
   reportMs: number;
   leaseMs: number;
   cancelMs: number;
-  state: { rps: number; writeRps: number; valueBytes: number; txnOps: number };
+  state: StateLimits;
   cloud: { rps: number; listLagMs: number };
   quota: { cores: number; memoryMb: number; sockets: number };
 }
@@ -88,6 +106,8 @@
 /** A controller without any work holds some 80 MB; below this it would end and start again for ever. */
 const leastMemoryMb = 96;
 
+const leastTxnOps = 2;
+
 /** Checks the settings; the error names the first field that is wrong. */
 export function parseSettings(json: string): Settings {
   let raw: unknown;
@@ -107,12 +127,16 @@
     throw new SettingsError('field settings.workers.cancel_s: must be more than lease_s');
   }
   // An end is two changes at once, and a page of the ledger holds an entry at least.
-  if (s.state.txn_ops < 2) throw new SettingsError('field settings.state.txn_ops: must be at least 2');
+  const txnOps = Math.min(s.state.txn_ops, s.state.next?.txn_ops ?? Infinity);
+  if (txnOps < leastTxnOps) {
+    throw new SettingsError(`field settings.state.txn_ops: must be at least ${leastTxnOps}`);
+  }
   if (s.quota.mem_mb < leastMemoryMb) {
     throw new SettingsError(`field settings.quota.mem_mb: must be at least ${leastMemoryMb}`);
   }
   const leastKb = Math.ceil(leastPageBytes / 1024);
-  if (s.state.value_kb < leastKb) {
+  const valueKb = Math.min(s.state.value_kb, s.state.next?.value_kb ?? Infinity);
+  if (valueKb < leastKb) {
     throw new SettingsError(`field settings.state.value_kb: must be at least ${leastKb}`);
   }
   return {
@@ -150,8 +174,10 @@
     state: {
       rps: s.state.rps,
       writeRps: s.state.write_rps,
-      valueBytes: s.state.value_kb * 1024,
-      txnOps: s.state.txn_ops,
+      valueBytes: valueKb * 1024,
+      txnOps,
+      presentValueBytes: s.state.value_kb * 1024,
+      nextRateShare: Math.min(1, (s.state.next?.write_rps ?? s.state.write_rps) / s.state.write_rps),
     },
     cloud: { rps: s.cloud.rps, listLagMs: s.cloud.list_lag_s * 1000 },
     quota: { cores: s.quota.cores, memoryMb: s.quota.mem_mb, sockets: s.quota.max_sockets },
--- a/src/store/adaptive-share.ts
+++ b/src/store/adaptive-share.ts
@@ -2,17 +2,25 @@
 
 /** How fast a share grows while it is too small, and shrinks while it is not, and how large it may get. */
 const growth = { perSecond: 0.5, decayPerSecond: 0.1, maxFactor: 4 };
+/** A share that refusals have cut below an even one grows back so slowly that only limits that were raised again are felt. */
+const recoveryPerSecond = 0.01;
+/** What each refusal leaves of a share that is no more than an even one. */
+const cutBelowEven = 0.9;
 
 /**
  * How far a controller goes beyond its even share of the store's limits. The others seldom need all of theirs at the same
  * time, and nobody tells how much they leave: as long as the service refuses nothing, who keeps users waiting takes more,
- * and each refusal halves what was taken. What the duties write can be gathered, so that they wait is no reason.
+ * and each refusal halves what was taken. Where lower limits are to come, refusals cut even shares down to what these leave. What the duties write can be gathered, so that they wait is no reason.
  */
 export class AdaptiveShare {
   private at: number;
   private value = 1;
 
-  constructor(now: number) {
+  /** `leastFactor`: the part of its even share that a controller keeps however much is refused. */
+  constructor(
+    now: number,
+    private readonly leastFactor = 1,
+  ) {
     this.at = now;
   }
 
@@ -24,10 +32,16 @@
   note(outcome: { refused: boolean; waited: boolean }, now: number): boolean {
     const passedS = Math.min(1, (now - this.at) / 1000);
     const before = this.value;
-    if (outcome.refused) this.value = Math.max(1, this.value / 2);
+    this.at = now;
+    if (outcome.refused) this.value = this.afterRefusal();
+    else if (this.value < 1) this.value = Math.min(1, this.value + recoveryPerSecond * passedS);
     else if (outcome.waited) this.value = Math.min(growth.maxFactor, this.value + growth.perSecond * passedS);
     else this.value = Math.max(1, this.value - growth.decayPerSecond * passedS);
-    this.at = now;
     return this.value !== before;
   }
+
+  private afterRefusal(): number {
+    if (this.value > 1) return Math.max(1, this.value / 2);
+    return Math.max(this.leastFactor, this.value * cutBelowEven);
+  }
 }
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -96,7 +96,7 @@
       confirm: new Pacer(1, 1, clock),
       duty: new Pacer(1, 1, clock),
     };
-    this.adaptiveShare = new AdaptiveShare(clock());
+    this.adaptiveShare = new AdaptiveShare(clock(), settings.state.nextRateShare);
     this.writeBurst = Math.max(4, settings.state.writeRps * burstShare);
     // All controllers may start at once: none begins with more than the duties can use.
     this.writes = new Pacer(1, this.writeBurst * keptForIntake, clock);
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -2,7 +2,7 @@
 import { sleep } from '../base/clock.js';
 import type { Settings } from '../settings/settings.js';
 import { sizeOf } from '../wire/codec.js';
-import { type Condition, type Write, writtenKey } from '../wire/state.js';
+import { type Condition, type Write, transactionBytes, writtenKey } from '../wire/state.js';
 import type { CommitOutcome, Lane, StoreClient } from './client.js';
 
 interface Operation {
@@ -12,8 +12,6 @@
   settle: (outcome: CommitOutcome) => void;
 }
 
-// Room left in a transaction for its own framing.
-const transactionBytes = 60 * 1024;
 /** Worst case of a key with its version, in the JSON form that limits are measured in. */
 const bytesPerKey = 64;
 const conditionsPerOperation = 4;
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -12,7 +12,7 @@
 export type ChangeListener = (changes: Change[]) => void;
 
 /** What is listed at start. Ends are not: there is one for every job that ever was, so they are read on demand. */
-const listedPrefixes = ['lead', 'alive/', 'block/', 'ladder/', 'job/', 'run/'];
+const listedPrefixes = ['lead', 'alive/', 'formats/', 'block/', 'machines/', 'ladder/', 'job/', 'run/'];
 const endsKept = 20_000;
 
 /** A copy of the store's keys that lags a little behind it. Nothing a user is told rests on it alone. */
--- a/src/testing/block-stage.ts
+++ b/src/testing/block-stage.ts
@@ -5,11 +5,12 @@
 import { BlockState } from '../placement/block-state.js';
 import { JobIndex } from '../placement/job-index.js';
 import type { Task } from '../placement/job-state.js';
+import type { LedgerLayout } from '../placement/ledger-layout.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import { parseMachineTypes } from '../wire/cloud.js';
-import type { LeasedMachine, Shares } from '../wire/records.js';
+import { type LeasedMachine, type Shares, tasksPerChunk } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../workers/machine-state.js';
 import { machineType } from './cloud-standin.js';
@@ -17,6 +18,10 @@
 
 /** Largest value of the state service in these tests, in bytes. */
 export const valueBytes = 32 * 1024;
+/** A page of the ledger is a value. */
+export const valueLayout: LedgerLayout = {
+  ...{ pageBytes: valueBytes, chunkTasks: tasksPerChunk(valueBytes), inherited: true },
+};
 const jobId = 'req-1';
 const firstBlockVersion = 7;
 const machineToken = 7;
@@ -64,7 +69,7 @@
   const settings = testSettings();
   const blockState = new BlockState({
     block: 0,
-    valueBytes,
+    layout: valueLayout,
     reportMs: 1000,
     clock: () => 0,
     teams: settings.teams,
@@ -75,7 +80,7 @@
     commit: (conditions: Condition[]) => Promise.resolve(answer(conditions, stage)),
   } as unknown as CommitStage;
   const scheduler = new Scheduler({
-    ...{ clock: () => 0, log: silentLog, settings, signal: stop.signal },
+    ...{ clock: () => 0, wallClock: () => 0, log: silentLog, settings, signal: stop.signal },
     store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
     ...{ commits, blockState, jobIndex: new JobIndex(() => 0) },
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
--- a/src/testing/traces.ts
+++ b/src/testing/traces.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { valueLayout } from './block-stage.js';
 import type { JobSpec, ReportedTask } from '../model/types.js';
 import { BlockState } from '../placement/block-state.js';
 import type { Part } from '../wire/records.js';
@@ -18,7 +19,7 @@
 export function runTrace(path: string): { expected: string[]; actual: string[] } {
   const blockState = new BlockState({
     block: 0,
-    valueBytes: 32 * 1024,
+    layout: valueLayout,
     reportMs: 1000,
     clock: () => now,
     teams: new Map(),
--- a/src/testing/user-side.ts
+++ b/src/testing/user-side.ts
@@ -1,10 +1,15 @@
 /** The users' side of one controller, for tests without sockets. */
 import type { Reply, Route } from '../base/replies.js';
+import { silentLog } from '../base/log.js';
+import { Cascade } from '../dependencies/cascade.js';
+import { EndReader } from '../intake/end-reader.js';
 import { Intake, type IntakePorts } from '../intake/intake.js';
+import { JobIndex } from '../placement/job-index.js';
 import type { Lane, StoreClient } from '../store/client.js';
 import { CommitStage } from '../store/commit-stage.js';
 import { Mirror } from '../store/mirror.js';
 import { parseMachineTypes } from '../wire/cloud.js';
+import { endKey, parseEnd } from '../wire/records.js';
 import { machineType } from './cloud-standin.js';
 import { submission } from './cluster.js';
 import { type HeldStore, settled } from './held-store.js';
@@ -15,6 +20,10 @@
 export interface UserSideOptions {
   /** How long a commit would wait for its turn, by the controller's share of the store's limits. */
   writeWaitMs?: number;
+  /** All controllers are known to heed dependencies. */
+  supportsDependencies?: boolean;
+  /** The copy of the store is recent enough to say that no job before one is cancelled. */
+  knowsCancellations?: boolean;
 }
 
 /** Requests, most of them about one job, to one controller, whose copy of the store learns nothing but what it commits itself. */
@@ -36,6 +45,11 @@
       { list: () => Promise.resolve({ items: [], revision: 0 }), watch: () => new Promise(() => undefined) },
       0,
     );
+    const jobIndex = new JobIndex(
+      () => 0,
+      (id) => parseEnd(mirror.get(endKey(id))?.value),
+    );
+    mirror.listen((changes) => jobIndex.apply(changes));
     void mirror.follow(signal);
     await settled();
     const types = new Map(parseMachineTypes({ hulls: [machineType] }).map((type) => [type.name, type]));
@@ -45,10 +59,17 @@
       read: (key: string) => store.read(key),
       listPage: (prefix: string, after: string, most: number) => store.listPage(prefix, after, most),
     } as unknown as StoreClient;
+    const ends = new EndReader({ store: client, mirror });
+    const cascade = new Cascade({
+      ...{ clock: () => 0, wallClock: () => 0, log: silentLog, settings, store: client, mirror, jobIndex },
+      ...{ commits: stage('duty'), isLeading: () => true, readEnd: (id) => ends.read(id) },
+    });
     const ports = {
       ...{ clock: () => 0, wallClock: () => 0, settings, mirror, types: () => types, store: client },
       ...{ writes: stage('intake'), confirms: stage('confirm'), home: () => [], isUp: () => true },
-      jobIndex: { progress: () => ({ done: 0, active: 0 }) },
+      ...{ jobIndex, ends, cascade },
+      supportsDependencies: () => options.supportsDependencies ?? true,
+      knowsCancellations: () => options.knowsCancellations ?? true,
     } as unknown as IntakePorts;
     return new UserSide(ports, id);
   }
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -14,11 +14,12 @@
   return isJobId(id) ? id : undefined;
 }
 
+const jobId = v.pipe(v.string(), v.regex(jobIdForm));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 const word = v.pipe(v.string(), v.nonEmpty(), v.maxLength(200));
 
 const schema = v.object({
-  id: v.pipe(v.string(), v.regex(jobIdForm)),
+  id: jobId,
   jobclass: word,
   owner: word,
   shape: v.literal('sweep'),
@@ -38,6 +39,7 @@
   savepointS: amount,
   stowS: amount,
   dueS: v.nullish(amount),
+  moorings: v.nullish(v.array(jobId)),
 });
 
 /** A submission, or the reason why it is malformed. */
@@ -48,6 +50,7 @@
     return `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`;
   }
   const j = result.output;
+  const dependencies = [...new Set(j.moorings ?? [])];
   return {
     id: j.id,
     jobClass: j.jobclass,
@@ -69,6 +72,7 @@
     saveS: j.stowS,
     deadlineS: j.dueS ?? null,
     acceptedAt,
+    ...(dependencies.length > 0 ? { dependencies } : {}),
   };
 }
 
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -6,6 +6,10 @@
 export const leadKey = 'lead';
 export const aliveKey = (label: string): string => `alive/${label}`;
 export const blockKey = (block: number): string => `block/${block}`;
+export const machinesPrefix = (block: number): string => `machines/${block}/`;
+export const machinesKey = (block: number, page: number): string => `${machinesPrefix(block)}${page}`;
+/** The format that a controller's version reads and writes, kept for good once it has run. */
+export const formatKey = (label: string): string => `formats/${label}`;
 export const ladderKey = (pool: string): string => `ladder/${pool}`;
 export const jobKey = (id: string): string => `job/${id}`;
 export const endPrefix = 'end/';
@@ -49,6 +53,8 @@
   leaving: boolean;
   /** Time of day of its rental in ms, as far as known. */
   since: number;
+  /** The page of the block's machines that names it; none yet, or the block's record names it itself. */
+  page?: number;
 }
 
 /** What a team's tasks in one block may use; a missing entry means that the team has no limit. */
@@ -60,28 +66,61 @@
   boot: string;
   machines: LeasedMachine[];
   shares: Shares;
+  /** The least token of the machines that pages name: the revision of the lease to the present owner. */
+  leaseToken?: number;
 }
 
-/**
- * Machines are grouped by kind, with the names left once and times of day in seconds: a block with all machines of a
- * deployment must stay a value of the store.
- */
-export function blockRecord(record: BlockRecord): unknown {
+/** A value of the store and the revision of its last change. */
+export interface StoredValue {
+  value: unknown;
+  version: number;
+}
+
+/** Machines grouped by kind, with the names left once and times of day in seconds. */
+export function machineGroups(machines: Iterable<LeasedMachine>): unknown[] {
   const groups = new Map<string, unknown[]>();
-  for (const m of record.machines) {
-    const key = `${m.type}/${m.zone}/${m.spot}`;
+  for (const m of machines) {
+    const key = kindOfMachine(m);
     let group = groups.get(key);
     if (!group) groups.set(key, (group = [m.type, m.zone, m.spot, []]));
     (group[3] as unknown[]).push([m.id, m.token, Math.round(m.since / 1000), ...(m.leaving ? [1] : [])]);
   }
+  return [...groups.values()];
+}
+
+export function kindOfMachine({ type, zone, spot }: LeasedMachine): string {
+  return `${type}/${zone}/${spot}`;
+}
+
+/** The record of a block with all its machines, which earlier versions can read. */
+export function blockRecord(record: BlockRecord): unknown {
   const { owner, boot, shares } = record;
-  return { owner, boot, shares, machines: [...groups.values()] };
+  return { owner, boot, shares, machines: machineGroups(record.machines) };
+}
+
+/** The record of a block whose machines are named by pages of their own. */
+export function pagedBlockRecord(record: BlockRecord): unknown {
+  const { owner, boot, shares, leaseToken } = record;
+  return { owner, boot, shares, leaseToken: leaseToken ?? leastToken };
 }
 
+/** A lease that raises no token. */
+const leastToken = 1;
+
 /** In the store, a token of 0 stands for the revision of the record itself: nobody knows it before the commit. */
 export const tokenOfThisCommit = 0;
 
-export function parseBlock(value: unknown, version: number): BlockRecord | undefined {
+/** True where the record names the machines itself; pages that are there as well mean nothing. */
+export function namesItsMachines(value: unknown): boolean {
+  return isFields(value) && Array.isArray(value['machines']);
+}
+
+/** `pages`: the pages of the block's machines by number. */
+export function parseBlock(
+  value: unknown,
+  version: number,
+  pages: Iterable<[number, StoredValue]> = [],
+): BlockRecord | undefined {
   if (!isFields(value)) return undefined;
   const shares: Shares = {};
   if (isFields(value['shares'])) {
@@ -90,23 +129,34 @@
       shares[team] = [number(cpus), number(accelerators)];
     }
   }
-  return {
-    owner: text(value['owner']),
-    boot: text(value['boot']),
-    shares,
-    machines: list(value['machines']).flatMap((group) => {
-      const [type, zone, spot, machines] = list(group);
-      return list(machines).map((machine) => {
-        const [id, token, since, leaving] = list(machine);
-        return {
-          id: text(id),
-          token: number(token) === tokenOfThisCommit ? version : number(token),
-          ...{ type: text(type), zone: text(zone), spot: spot === true },
-          ...{ leaving: leaving === 1, since: number(since) * 1000 },
-        };
-      });
-    }),
-  };
+  const lease = { owner: text(value['owner']), boot: text(value['boot']), shares };
+  if (namesItsMachines(value)) return { ...lease, machines: parseMachines(value['machines'], version) };
+  const leaseToken = tokenOr(value['leaseToken'], version);
+  const machines: LeasedMachine[] = [];
+  for (const [page, stored] of pages) {
+    for (const machine of parseMachines(stored.value, stored.version)) {
+      machines.push({ ...machine, token: Math.max(machine.token, leaseToken), page });
+    }
+  }
+  return { ...lease, machines, leaseToken };
+}
+
+function tokenOr(value: unknown, version: number): number {
+  return number(value) === tokenOfThisCommit ? version : number(value);
+}
+
+function parseMachines(groups: unknown, version: number): LeasedMachine[] {
+  return list(groups).flatMap((group) => {
+    const [type, zone, spot, machines] = list(group);
+    return list(machines).map((machine) => {
+      const [id, token, since, leaving] = list(machine);
+      return {
+        ...{ id: text(id), token: tokenOr(token, version) },
+        ...{ type: text(type), zone: text(zone), spot: spot === true },
+        ...{ leaving: leaving === 1, since: number(since) * 1000 },
+      };
+    });
+  });
 }
 
 export interface AliveRecord {
@@ -121,15 +171,23 @@
 
 export type End = 'done' | 'cancelled';
 
-/** Keeps the number of tasks, for answers about a job whose record has gone. */
-export function endRecord(end: End, tasks: number): unknown {
-  return { end, tasks };
+export interface EndRecord {
+  end: End;
+  /** Kept for answers about a job whose record has gone. */
+  tasks: number;
+  /** Time of day of the end in ms: the times of dependent jobs count from it. Unknown for ends of earlier versions. */
+  at?: number;
 }
 
-export function parseEnd(value: unknown): { end: End; tasks: number } | undefined {
+export function endRecord(record: EndRecord): unknown {
+  return { ...record };
+}
+
+export function parseEnd(value: unknown): EndRecord | undefined {
   if (!isFields(value)) return undefined;
-  const { end, tasks } = value;
-  return end === 'done' || end === 'cancelled' ? { end, tasks: number(tasks) } : undefined;
+  const { end, tasks, at } = value;
+  if (end !== 'done' && end !== 'cancelled') return undefined;
+  return { end, tasks: number(tasks), ...(at === undefined ? {} : { at: number(at) }) };
 }
 
 /** Consecutive tasks of a job that are dispatched to a block, which places them. */
@@ -139,6 +197,9 @@
   count: number;
 }
 
+/** Room that a job's record keeps for the ranges of its tasks, in the JSON form that limits are measured in. */
+export const leastPartsBytes = 256;
+
 export interface JobRecord {
   spec: JobSpec;
   /** What no range covers has yet to be dispatched by the leader: no block had room for it so far. */
@@ -179,6 +240,22 @@
   waiting: [number, number][];
   /** Completed tasks as ranges: first, last, first, last… */
   done: number[];
+  /**
+   * Tasks of a chunk, where these are not as many as earlier versions take. Where entries of several sizes cover a task, the
+   * one of the smallest size is the newest and the only one that counts.
+   */
+  chunkTasks?: number;
+}
+
+/** Whether the version of a controller heeds dependencies, pages of machines and entries of other sizes. */
+export const currentFormat = 2;
+
+export function formatRecord(): unknown {
+  return { format: currentFormat };
+}
+
+export function parseFormat(value: unknown): number {
+  return number(isFields(value) ? value['format'] : undefined);
 }
 
 /** A page of a block's ledger holds entries of many jobs, so that one change of the store records a whole round. */
@@ -186,6 +263,7 @@
   return entries.map((e) => [
     ...[e.id, e.chunk, e.team, e.cpus, e.accelerators, e.memoryGb],
     ...[e.active, e.waiting, e.done],
+    ...(e.chunkTasks === undefined ? [] : [e.chunkTasks]),
   ]);
 }
 
@@ -193,13 +271,14 @@
 export function parseLedgerPage(value: unknown): LedgerEntry[] {
   return list(value)
     .map((entry) => {
-      const [id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done] = list(entry);
+      const [id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done, chunkTasks] = list(entry);
       return {
         ...{ id: text(id), chunk: number(chunk), team: text(team) },
         ...{ cpus: number(cpus), accelerators: number(accelerators), memoryGb: number(memoryGb) },
         active: list(active) as LedgerEntry['active'],
         waiting: list(waiting) as LedgerEntry['waiting'],
         done: list(done) as number[],
+        ...(chunkTasks === undefined ? {} : { chunkTasks: number(chunkTasks) }),
       };
     })
     .filter((entry) => entry.id !== '');
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -12,6 +12,9 @@
   return 'drop' in write ? write.drop : write.put;
 }
 
+/** What a transaction is limited to in the JSON form that limits are measured in, less room for its own framing. */
+export const transactionBytes = 60 * 1024;
+
 export interface Item {
   key: string;
   value: unknown;
