--- /dev/null
+++ b/src/blocks/block-writer.test.ts
@@ -0,0 +1,198 @@
+import assert from 'node:assert/strict';
+import { describe, test } from 'node:test';
+import { CommitStage } from '../store/commit-stage.js';
+import { HeldStore } from '../testing/held-store.js';
+import { testSettings } from '../testing/settings.js';
+import { mirrorOf } from '../testing/stored-mirror.js';
+import {
+  type BlockRecord,
+  type LeasedMachine,
+  blockKey,
+  blockRecord,
+  formatKey,
+  formatRecord,
+} from '../wire/records.js';
+import { BlockWriter, type BlockWriteResult } from './block-writer.js';
+import { giveTo } from './leasing.js';
+import { Registry } from './registry.js';
+
+const labels = ['keel-0', 'keel-1', 'keel-2'];
+const nextLimits = { value_kb: 2, txn_ops: 6 };
+
+function machine(i: number, change: Partial<LeasedMachine> = {}): LeasedMachine {
+  const kind = { type: ['harju16', 'toompea32'][i % 2] ?? '', zone: labels[i % 3] ?? '', spot: i % 5 > 0 };
+  return {
+    id: `vm-${String(i).padStart(6, '0')}`,
+    token: 1,
+    ...kind,
+    leaving: false,
+    since: 1e12,
+    ...change,
+  };
+}
+
+function recordOf(count: number): BlockRecord {
+  const machines = Array.from({ length: count }, (_, i) => machine(i));
+  return { owner: 'keel-0', boot: 'life', machines, shares: { red: [4, 0] } };
+}
+
+/** A store in which every controller has run with this version, and a block as the version before has written it. */
+class Stage {
+  readonly store = new HeldStore();
+  private readonly settings;
+
+  constructor(next: Record<string, number> = nextLimits) {
+    this.settings = testSettings((file) => {
+      const { state } = file['settings'] as { state: Record<string, unknown> };
+      state['next'] = next;
+    });
+  }
+
+  async prepare(machines: number, upgraded = labels): Promise<void> {
+    const formats = upgraded.map((label) => ({ put: formatKey(label), value: formatRecord() }));
+    await this.store.commit(
+      'duty',
+      [],
+      [...formats, { put: blockKey(0), value: blockRecord(recordOf(machines)) }],
+    );
+    this.store.forgetSizes();
+  }
+
+  async registry(): Promise<Registry> {
+    return new Registry(await mirrorOf(this.store), labels);
+  }
+
+  async read(): Promise<BlockRecord> {
+    const record = (await this.registry()).blocks().get(0);
+    assert.ok(record);
+    return { ...record, machines: record.machines.map((one) => ({ ...one })) };
+  }
+
+  async write(next: BlockRecord): Promise<BlockWriteResult> {
+    const { signal } = new AbortController();
+    const commits = new CommitStage(this.store, 'duty', this.settings, signal, 100);
+    return new BlockWriter({ settings: this.settings, registry: await this.registry(), commits }).write(
+      0,
+      next,
+    );
+  }
+}
+
+const idsOf = (record: BlockRecord): string[] => record.machines.map(({ id }) => id).sort();
+
+describe('a block that an earlier version has written', () => {
+  test('stays as that version reads it until every controller has run with this one', async () => {
+    const stage = new Stage();
+    await stage.prepare(230, labels.slice(1));
+    await stage.write(recordOf(231));
+    assert.deepEqual((await stage.registry()).stored(0)?.inline, true);
+    assert.equal((await stage.read()).machines.length, 231);
+  });
+
+  test('stays so where it is small', async () => {
+    const stage = new Stage();
+    await stage.prepare(10);
+    await stage.write(recordOf(11));
+    assert.deepEqual((await stage.registry()).stored(0)?.inline, true);
+  });
+
+  // Guards against a block that can never be written again: its record has outgrown the service's new limits.
+  for (const machines of [230, 700, 1000]) {
+    test(`of ${machines} machines moves to pages, in steps after each of which it says the same`, async () => {
+      const stage = new Stage();
+      await stage.prepare(machines);
+      const before = await stage.read();
+      stage.store.onWrite = async () => assert.deepEqual(idsOf(await stage.read()), idsOf(before));
+      const { outcome } = await stage.write({ ...before, shares: { red: [8, 0] } });
+      await stage.store.checked;
+      assert.equal(outcome.kind, 'applied');
+      const after = await stage.read();
+      assert.deepEqual(idsOf(after), idsOf(before));
+      assert.ok(after.machines.every(({ token }) => token === 1));
+      assert.deepEqual(after.shares, { red: [8, 0] });
+      assert.ok(stage.store.largestValue <= 2048, `${stage.store.largestValue} bytes`);
+      assert.ok(stage.store.largestWrites <= 6);
+    });
+  }
+});
+
+describe('a block on pages', () => {
+  async function paged(machines: number, next = nextLimits): Promise<Stage> {
+    const stage = new Stage(next);
+    await stage.prepare(10);
+    await stage.write(recordOf(machines));
+    stage.store.forgetSizes();
+    return stage;
+  }
+
+  test('changes hands in one change, with tokens above all before', async () => {
+    const stage = await paged(4000);
+    const next = await stage.read();
+    giveTo(next, { label: 'keel-1', boot: 'other', zone: 'a' });
+    const { outcome } = await stage.write(next);
+    assert.equal(stage.store.largestWrites, 1);
+    const { owner, machines } = await stage.read();
+    assert.equal(owner, 'keel-1');
+    assert.equal(machines.length, 4000);
+    const revision = outcome.kind === 'applied' ? outcome.revision : 0;
+    assert.ok(machines.every(({ token }) => token === revision));
+  });
+
+  test('names a new machine, one that leaves and one less with a change of few pages, the others keep their tokens', async () => {
+    const stage = await paged(4000, { value_kb: 32, txn_ops: 20 });
+    const next = await stage.read();
+    const gone = next.machines.pop()?.id;
+    const leaving = next.machines[0];
+    assert.ok(leaving);
+    leaving.leaving = true;
+    next.machines.push(machine(5000, { token: 0 }));
+    await stage.write(next);
+    assert.ok(stage.store.largestWrites <= 4);
+    const { machines } = await stage.read();
+    assert.equal(machines.length, 4000);
+    assert.equal(
+      machines.some(({ id }) => id === gone),
+      false,
+    );
+    assert.deepEqual(
+      machines.filter((one) => one.leaving).map(({ id }) => id),
+      [leaving.id],
+    );
+    const fresh = machines.find(({ id }) => id === 'vm-005000');
+    assert.ok(fresh && fresh.token > 1);
+    assert.ok(machines.filter((one) => one !== fresh).every(({ token }) => token === 1));
+  });
+
+  // Guards against intents on a machine that is to be given back: each step has a version of its own.
+  test('of which more pages change than a transaction holds changes in steps that all renew its version', async () => {
+    const stage = await paged(1300);
+    const next = await stage.read();
+    for (const one of next.machines) one.leaving = true;
+    const versions = new Set<number>();
+    stage.store.onWrite = async () => void versions.add((await stage.registry()).version(0));
+    await stage.write(next);
+    await stage.store.checked;
+    assert.ok(versions.size >= 5);
+    assert.ok(stage.store.largestWrites <= 6);
+    assert.ok((await stage.read()).machines.every(({ leaving }) => leaving));
+  });
+
+  test('whose steps meet a conflict is left as a mixture of both, and says so', async () => {
+    const stage = await paged(1300);
+    const next = await stage.read();
+    for (const one of next.machines) one.leaving = true;
+    let writes = 0;
+    stage.store.onWrite = async () => {
+      if (++writes === 2)
+        await stage.store.commit(
+          'duty',
+          [],
+          [{ drop: blockKey(9) }, { put: blockKey(0), value: stage.store.value(blockKey(0)) }],
+        );
+    };
+    const { outcome } = await stage.write(next);
+    assert.equal(outcome.kind, 'conflict');
+    const left = (await stage.read()).machines.filter(({ leaving }) => leaving).length;
+    assert.ok(left > 0 && left < 1300);
+  });
+});
--- a/src/dependencies/dependency-graph.ts
+++ b/src/dependencies/dependency-graph.ts
@@ -68,6 +68,8 @@
 
   /** Returns the jobs that this end has made ready. */
   noteEnd(id: string, end: EndRecord): string[] {
+    // Nothing is left to be done about it, whenever the copy of the store drops its record.
+    this.doomedSince.delete(id);
     const dependents = this.dependents.get(id);
     if (!dependents || this.ends.has(id)) return [];
     this.ends.set(id, end);
--- a/src/testing/checker.test.ts
+++ b/src/testing/checker.test.ts
@@ -5,6 +5,7 @@
 
 const job: JobFacts = {
   ...{ team: 'red', tasks: 2, cpus: 4, types: null, zone: null, oneZone: false, spread: false, spot: false },
+  dependencies: [],
 };
 const facts: CheckFacts = {
   limits: new Map([['red', 8]]),
@@ -159,6 +160,50 @@
     ],
     ['went_back a'],
   );
+  const needsA = (id: string, ...dependencies: string[]): MadeUp[] => [
+    submitted(id, { tasks: 1, cpus: 1, dependencies }),
+    told(id, 'submission', 'pending'),
+  ];
+  const doneA = [
+    started('a/0', 'm1'),
+    started('a/1', 'm1'),
+    left('a/0', 'm1', true),
+    left('a/1', 'm1', true),
+  ];
+  caught(
+    'no rule: it starts after all that it needs are done',
+    [...needsA('b', 'a'), ...doneA, started('b/0', 'm1')],
+    [],
+  );
+  caught(
+    'too_early: one of two tasks of the job that it needs is done',
+    [...needsA('b', 'a'), ...doneA.slice(0, 3), started('b/0', 'm2')],
+    ['too_early b/0'],
+  );
+  caught(
+    'too_early: a job that it needs is not known at all',
+    [...needsA('b', 'z'), started('a/0', 'm1'), started('b/0', 'm1')],
+    ['too_early b/0'],
+  );
+  caught(
+    'orphaned: a job that needs the cancelled one through another is still called pending',
+    [
+      ...[...needsA('b', 'a'), ...needsA('c', 'b'), ...cancelled],
+      { ...told('c', 'question', 'pending'), at: 5900 },
+      { ...told('c', 'question', 'pending'), at: 5901 },
+    ],
+    ['orphaned c'],
+  );
+  caught(
+    'no rule: a job is cancelled with the one that it needs, and nobody asked for that',
+    [...needsA('b', 'a'), ...cancelled, told('b', 'question', 'cancelled')],
+    [],
+  );
+  caught(
+    'went_back: a job is called cancelled where the one that it needs was not',
+    [...needsA('b', 'a'), started('a/0', 'm1'), told('b', 'question', 'cancelled')],
+    ['went_back b'],
+  );
   caught(
     'a job that lacks a field is accepted',
     [
@@ -171,5 +216,7 @@
   test('a job is left waiting beside room', () => {
     assert.deepEqual(rulesOf(ground, { endsAt: 9301 }), ['left_waiting a']);
     assert.deepEqual(rulesOf(ground, { endsAt: 9301, calmAt: 1000 }), []);
+    const needsA = [submitted('b', { tasks: 1, dependencies: ['a'] }), told('b', 'submission', 'pending')];
+    assert.deepEqual(rulesOf([...ground, ...needsA], { endsAt: 19_301 }), ['left_waiting a']);
   });
 });
--- a/src/testing/checker.ts
+++ b/src/testing/checker.ts
@@ -113,8 +113,10 @@
     const backFromDone = sentAfter(job.doneAt) && what !== 'done';
     const backFromCancelled = sentAfter(job.cancelledAt) && what !== 'cancelled';
     if (backFromDone || backFromCancelled || hasTwoEnds(job, what)) this.report('went_back', id);
+    if (what === 'pending' || what === 'running') this.judgeOrphan(id, sentAt);
     if (what === 'cancelled') {
-      if (!job.askedToCancel) this.report('went_back', id);
+      const isAsked = job.askedToCancel || this.ancestors(id).some((one) => one.askedToCancel);
+      if (!isAsked) this.report('went_back', id);
       job.cancelledAt ??= this.at;
     }
     if (what === 'done') {
@@ -148,6 +150,8 @@
       if (late > this.facts.cancelMs) this.report('ran_cancelled', task);
       else if (late > this.facts.startGraceMs) this.report('started_cancelled', task);
     }
+    const unmet = (job.facts?.dependencies ?? []).some((dependency) => !this.isComplete(dependency));
+    if (unmet) this.report('too_early', task);
     if (!this.maySit(id, job, machine)) this.report('wrong_place', task);
     job.startedEver = true;
     places.push({ machine, since: this.at });
@@ -156,6 +160,32 @@
     if (limit !== undefined && this.used(job.facts?.team) > limit + 1e-6) this.report('quota', task);
   }
 
+  private isComplete(id: string): boolean {
+    const job = this.jobs.get(id);
+    return job?.facts !== undefined && job.completed.size >= job.facts.tasks;
+  }
+
+  /** All jobs that have to be done before the job, directly or through others. */
+  private ancestors(id: string): Job[] {
+    const found = new Set<string>();
+    const next = [id];
+    for (let at = next.pop(); at !== undefined; at = next.pop()) {
+      for (const dependency of this.jobs.get(at)?.facts?.dependencies ?? []) {
+        if (found.has(dependency)) continue;
+        found.add(dependency);
+        next.push(dependency);
+      }
+    }
+    return [...found].map((ancestor) => this.job(ancestor));
+  }
+
+  /** The job is still called open, by an answer whose request was sent long after a job before it was told as cancelled. */
+  private judgeOrphan(id: string, sentAt: number): void {
+    const isLate = ({ cancelledAt }: Job): boolean =>
+      cancelledAt !== undefined && sentAt - cancelledAt > this.facts.cancelMs;
+    if (this.ancestors(id).some(isLate)) this.report('orphaned', id);
+  }
+
   private leave(task: string, machine: string, completed: boolean): void {
     const [id = '', index] = task.split('/');
     const places = this.running.get(task) ?? [];
@@ -208,7 +238,9 @@
   private judgeEnd(id: string, job: Job): void {
     const { endsAt, calmAt, waitsMs } = this.facts;
     const waitedFrom = Math.max(job.acceptedAt ?? Infinity, calmAt);
-    const open = job.cancelledAt === undefined && job.doneAt === undefined && !job.startedEver;
+    const isReady = (job.facts?.dependencies ?? []).every((dependency) => this.isComplete(dependency));
+    const isUndecided = job.cancelledAt === undefined && job.doneAt === undefined;
+    const open = isUndecided && !job.startedEver && isReady;
     if (open && endsAt - waitedFrom > waitsMs) this.report('left_waiting', id);
   }
 
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -370,5 +370,6 @@
     ...{ team: String(job['owner']), tasks: Number(job['pieces']), cpus: Number(job['cpus']) },
     ...{ types: job['hulls'] as string[] | null, zone: job['berth'] as string | null },
     ...{ oneZone: job['together'] === true, spread: job['apart'] === true, spot: job['loaners'] === true },
+    dependencies: (job['moorings'] ?? []) as string[],
   };
 }
--- a/src/testing/held-store.ts
+++ b/src/testing/held-store.ts
@@ -1,6 +1,8 @@
 /** An in-memory state service whose answers the test holds back and releases one by one. */
 import { nextTurn } from '../base/turns.js';
 import { type CommitOutcome, StoreUnavailable } from '../store/client.js';
+import { sizeOf } from '../wire/codec.js';
+import { type End, endKey, endRecord, jobKey } from '../wire/records.js';
 import { type Condition, type Item, type ListPage, type Write, writtenKey } from '../wire/state.js';
 
 interface StoredValue {
@@ -18,6 +20,12 @@
   failsLists = false;
   /** Requests executed so far: transactions with writes, those that only compare, and pages of lists. */
   readonly executed = { writing: 0, comparing: 0, listing: 0 };
+  /** The most changes that one transaction asked for, and the largest value in bytes. */
+  largestWrites = 0;
+  largestValue = 0;
+  /** Called after every transaction that wrote; `checked` settles with the last of these calls. */
+  onWrite: () => Promise<void> = () => Promise.resolve();
+  checked: Promise<void> = Promise.resolve();
   private readonly keys = new Map<string, StoredValue>();
   private readonly heldAnswers: (() => void)[] = [];
   private revision = 0;
@@ -52,12 +60,40 @@
     return this.answer({ items, more: found.length > most, revision: this.revision });
   }
 
+  /** The job ends by the hand of nobody whom the test plays. */
+  endAsDone(id: string): Promise<CommitOutcome> {
+    return this.end(id, 'done');
+  }
+
+  endAsCancelled(id: string): Promise<CommitOutcome> {
+    return this.end(id, 'cancelled');
+  }
+
+  forgetSizes(): void {
+    this.largestWrites = 0;
+    this.largestValue = 0;
+  }
+
+  value(key: string): unknown {
+    return this.keys.get(key)?.value;
+  }
+
+  has(key: string): boolean {
+    return this.keys.has(key);
+  }
+
+  private end(id: string, end: End): Promise<CommitOutcome> {
+    const put = { put: endKey(id), value: endRecord({ end, tasks: 1, at: 0 }) };
+    return Promise.resolve(this.execute([], [put, { drop: jobKey(id) }]));
+  }
+
   private answer<T>(value: T): Promise<T> {
     if (!this.holdsAnswers) return Promise.resolve(value);
     return new Promise((resolve) => this.heldAnswers.push(() => resolve(value)));
   }
 
   private execute(conditions: Condition[], writes: Write[]): CommitOutcome {
+    this.largestWrites = Math.max(this.largestWrites, writes.length);
     this.executed[writes.length > 0 ? 'writing' : 'comparing']++;
     const failed = conditions.filter(({ key, version }) => this.version(key) !== version);
     if (failed.length > 0) {
@@ -65,12 +101,17 @@
     }
     if (writes.length > 0) this.revision++;
     for (const write of writes) this.apply(write);
-    return { kind: 'applied', revision: this.revision };
+    const { revision } = this;
+    if (writes.length > 0) this.checked = this.onWrite();
+    return { kind: 'applied', revision };
   }
 
   private apply(write: Write): void {
     if ('drop' in write) this.keys.delete(writtenKey(write));
-    else this.keys.set(write.put, { value: write.value, version: this.revision });
+    else {
+      this.largestValue = Math.max(this.largestValue, sizeOf(write.value));
+      this.keys.set(write.put, { value: write.value, version: this.revision });
+    }
   }
 
   private version(key: string): number {
--- a/src/testing/history.ts
+++ b/src/testing/history.ts
@@ -25,6 +25,8 @@
   oneZone: boolean;
   spread: boolean;
   spot: boolean;
+  /** Jobs that have to be done before any task of this one starts. */
+  dependencies: string[];
 }
 
 export type Dated = Happening & { at: number };
--- /dev/null
+++ b/src/testing/stored-mirror.ts
@@ -0,0 +1,16 @@
+/** A copy of an in-memory state service as of one moment. */
+import { Mirror } from '../store/mirror.js';
+import { type HeldStore, settled } from './held-store.js';
+
+export async function mirrorOf(store: HeldStore): Promise<Mirror> {
+  const mirror = new Mirror(
+    {
+      list: (prefix) => store.listPage(prefix, '', Infinity),
+      watch: () => new Promise(() => undefined),
+    },
+    0,
+  );
+  void mirror.follow(new AbortController().signal);
+  while (!mirror.ready) await settled();
+  return mirror;
+}
--- a/src/testing/user-side.ts
+++ b/src/testing/user-side.ts
@@ -10,6 +10,7 @@
 import { Mirror } from '../store/mirror.js';
 import { parseMachineTypes } from '../wire/cloud.js';
 import { endKey, parseEnd } from '../wire/records.js';
+import type { Item } from '../wire/state.js';
 import { machineType } from './cloud-standin.js';
 import { submission } from './cluster.js';
 import { type HeldStore, settled } from './held-store.js';
@@ -20,12 +21,24 @@
 export interface UserSideOptions {
   /** How long a commit would wait for its turn, by the controller's share of the store's limits. */
   writeWaitMs?: number;
+  /** Its copy of the store begins with all jobs that are open. */
+  listsJobs?: boolean;
   /** All controllers are known to heed dependencies. */
   supportsDependencies?: boolean;
   /** The copy of the store is recent enough to say that no job before one is cancelled. */
   knowsCancellations?: boolean;
 }
 
+/** What a copy of the store begins with. */
+async function listFor(
+  store: HeldStore,
+  prefix: string,
+  { listsJobs }: UserSideOptions,
+): Promise<{ items: Item[]; revision: number }> {
+  if (listsJobs !== true || prefix !== 'job/') return { items: [], revision: 0 };
+  return store.listPage(prefix, '', Infinity);
+}
+
 /** Requests, most of them about one job, to one controller, whose copy of the store learns nothing but what it commits itself. */
 export class UserSide {
   private readonly routes: Route[];
@@ -33,6 +46,7 @@
   private constructor(
     ports: IntakePorts,
     private readonly id: string,
+    readonly cascade: Cascade,
   ) {
     this.routes = new Intake(ports).routes;
   }
@@ -42,7 +56,7 @@
     const { signal } = new AbortController();
     const stage = (lane: Lane): CommitStage => new CommitStage(store, lane, settings, signal, stageBound);
     const mirror = new Mirror(
-      { list: () => Promise.resolve({ items: [], revision: 0 }), watch: () => new Promise(() => undefined) },
+      { list: (prefix) => listFor(store, prefix, options), watch: () => new Promise(() => undefined) },
       0,
     );
     const jobIndex = new JobIndex(
@@ -71,7 +85,7 @@
       supportsDependencies: () => options.supportsDependencies ?? true,
       knowsCancellations: () => options.knowsCancellations ?? true,
     } as unknown as IntakePorts;
-    return new UserSide(ports, id);
+    return new UserSide(ports, id, cascade);
   }
 
   /** A submission of the job; `change` makes it differ from the others. */
