--- a/src/blocks/block-capacity.ts
+++ b/src/blocks/block-capacity.ts
@@ -137,8 +137,9 @@
 
   /**
    * Dispatches tasks that no block has yet to where there is room for them, and takes that room. Undefined: there is none.
+   * `most`: how many parts the job may have.
    */
-  dispatch(spec: JobSpec, parts: Part[]): Part[] | undefined {
+  dispatch(spec: JobSpec, parts: Part[], most = Infinity): Part[] | undefined {
     const capacities = this.of(spec);
     if (bound(spec)) {
       const best = capacities[0];
@@ -163,10 +164,21 @@
         if (gap.count === 0) gaps.shift();
       }
     }
-    return more.length > 0 ? mergeParts([...parts, ...more]) : undefined;
+    return more.length > 0 ? withinMost(parts, more, most, spec.tasks) : undefined;
   }
 }
 
+/** The parts with as many of the further ones as there may be; where there is no place for any, a neighbour gets a gap. */
+function withinMost(parts: Part[], more: Part[], most: number, tasks: number): Part[] {
+  for (let taken = more.length; taken > 0; taken--) {
+    const merged = mergeParts([...parts, ...more.slice(0, taken)]);
+    if (merged.length <= most) return merged;
+  }
+  const [gap] = undispatched(parts, tasks);
+  const neighbour = parts.find((part) => part.first + part.count === gap?.first) ?? parts[0];
+  return gap && neighbour ? mergeParts([...parts, { block: neighbour.block, ...gap }]) : parts;
+}
+
 /** Tasks whose zones depend on each other. */
 export function bound(spec: Pick<JobSpec, 'oneZone' | 'spread'>): boolean {
   return spec.oneZone || spec.spread;
--- a/src/blocks/dispatcher.ts
+++ b/src/blocks/dispatcher.ts
@@ -2,14 +2,14 @@
 import type { Log } from '../base/log.js';
 import { nextTurn } from '../base/turns.js';
 import type { Term } from '../leadership/term.js';
-import type { MachineType } from '../model/types.js';
+import type { JobSpec, MachineType } from '../model/types.js';
 import { type JobIndex, type IndexedJob, needOf } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
 import { Usage } from '../placement/placement-round.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type LeasedMachine, type Part, jobKey, jobRecord, leadKey } from '../wire/records.js';
+import { type LeasedMachine, type Part, jobKey, jobRecord, leadKey, mostParts } from '../wire/records.js';
 import { restore, takeBack } from './rebalance.js';
 import type { Registry } from './registry.js';
 import { type Capacity, BlockCapacity, bound, undispatched, undispatchedTasks } from './block-capacity.js';
@@ -41,6 +41,9 @@
 /** Jobs dispatched at a time, as a share of the changes that the store takes in a second or a transaction. */
 const dispatchShare = 0.35;
 
+/** Work taken back leaves this part of the ranges that a record has room for, so that what is dispatched anew finds some. */
+const takenBackShare = 1 / 2;
+
 /** The leader's dispatching of jobs to blocks: of what no block has, and of what waits in one while another has room. */
 export class Dispatcher {
   private dispatchedAt = -Infinity;
@@ -77,7 +80,8 @@
     for (const job of jobIndex.inOrder(order, wallClock(), due)) {
       if (dispatches.length >= this.mostDispatches) break;
       const { spec, parts } = job;
-      const next = restore(job, jobIndex.entries(job.id)) ?? capacity.dispatch(spec, parts);
+      const next =
+        restore(job, jobIndex.entries(job.id)) ?? capacity.dispatch(spec, parts, this.mostPartsOf(spec));
       if (next) dispatches.push(this.place(job, next));
     }
     await Promise.all(dispatches);
@@ -126,11 +130,16 @@
   private without(job: IndexedJob, block: number, tasks: number): Part[] | undefined {
     const { jobIndex } = this.ports;
     const { spec, parts, id } = job;
-    if (!bound(spec)) return takeBack(parts, block, jobIndex.entries(id), tasks);
+    const most = this.mostPartsOf(spec) * takenBackShare;
+    if (!bound(spec)) return takeBack(parts, block, jobIndex.entries(id), tasks, most);
     const { done, active } = jobIndex.progress(id);
     return done + active > 0 ? undefined : takeBack(parts, block, jobIndex.entries(id), spec.tasks);
   }
 
+  private mostPartsOf(spec: JobSpec): number {
+    return mostParts(spec, this.ports.settings.state.valueBytes);
+  }
+
   private capacity(lookahead = this.ports.lookahead): BlockCapacity {
     const { jobIndex, registry, types, up } = this.ports;
     const alive = (label: string): boolean => registry.isAlive(label);
--- a/src/blocks/rebalance.ts
+++ b/src/blocks/rebalance.ts
@@ -16,18 +16,16 @@
   return held;
 }
 
-/** So many parts of a job leave its record well within a value of the store. */
-const mostParts = 200;
-
 /**
  * The parts of a job less up to `count` tasks that wait in a block, the last first, so that its parts stay few. Undefined:
- * there are none to take.
+ * there are none to take, or more than `most` parts would be left.
  */
 export function takeBack(
   parts: Part[],
   block: number,
   entries: Iterable<Entry>,
   count: number,
+  most = Infinity,
 ): Part[] | undefined {
   const held = heldBy(block, entries);
   const taken = new Set<number>();
@@ -38,7 +36,7 @@
   }
   if (taken.size === 0) return undefined;
   const kept = parts.flatMap((part) => (part.block === block ? without(part, taken) : [part]));
-  return kept.length <= mostParts ? kept : undefined;
+  return kept.length <= most ? kept : undefined;
 }
 
 function without({ block, first, count }: Part, taken: ReadonlySet<number>): Part[] {
--- a/src/store/commit-stage.ts
+++ b/src/store/commit-stage.ts
@@ -87,9 +87,18 @@
         }
         continue;
       }
+      if (outcome.kind === 'malformed' && batch.length > 1) {
+        // One of them is at fault, and the service does not say which: the others must not fail with it.
+        await this.flushOneByOne(batch);
+        continue;
+      }
       for (const operation of batch) operation.settle(outcome);
     }
   }
+
+  private async flushOneByOne(batch: Operation[]): Promise<void> {
+    for (const operation of batch) await this.flush([operation]);
+  }
 }
 
 /** The longest run of operations that one transaction can hold; a key is conditioned and written only once. */
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -40,6 +40,10 @@
   capacity?: number;
   /** Controllers that run in processes of their own, so that a test can stop and continue them. */
   processes?: string[];
+  /** Controllers that begin with the program at this path, each in a process of its own: an earlier version. */
+  earlier?: { program: string; labels: string[] };
+  /** Limits that the state service will have, by the settings' names. */
+  nextLimits?: Record<string, number>;
 }
 
 const mainModule = fileURLToPath(new URL('../main.js', import.meta.url));
@@ -79,7 +83,9 @@
       ...labels.flatMap((from, i) => labels.flatMap((to, j) => (i === j ? [] : [this.connect(from, to)]))),
     ]);
     for (const label of labels) {
-      if (this.options.processes?.includes(label)) this.startProcess(label);
+      if (this.options.earlier?.labels.includes(label))
+        this.startProcess(label, this.options.earlier.program);
+      else if (this.options.processes?.includes(label)) this.startProcess(label);
       else this.startController(label);
     }
     await this.until('all controllers are up', async () => {
@@ -100,7 +106,7 @@
   }
 
   /** The program as it is deployed, but for its bundling. */
-  private startProcess(label: string): void {
+  startProcess(label: string, program = mainModule): void {
     const directory = mkdtempSync(join(tmpdir(), 'shalekeel-'));
     const path = join(directory, 'settings.json');
     writeFileSync(
@@ -108,7 +114,7 @@
       settingsJson((file) => this.adapt(file, label)),
     );
     const env = { ...process.env, LOG_LEVEL: process.env['LOG_LEVEL'] ?? 'error' };
-    const child = spawn(process.execPath, [mainModule, '--config', path], { stdio: 'inherit', env });
+    const child = spawn(process.execPath, [program, '--config', path], { stdio: 'inherit', env });
     this.processes.set(label, { child, directory });
   }
 
@@ -117,6 +123,32 @@
     this.processes.get(label)?.child.kill('SIGSTOP');
   }
 
+  /** Killed with no signal that it could heed. */
+  killProcess(label: string): void {
+    const running = this.processes.get(label);
+    running?.child.kill('SIGKILL');
+    if (running) rmSync(running.directory, { recursive: true, force: true });
+    this.processes.delete(label);
+  }
+
+  /** The controller ends, whatever it runs as, and comes back as this version. */
+  async upgrade(label: string, afterMs = 300): Promise<void> {
+    this.killProcess(label);
+    this.stopController(label);
+    await pause(afterMs);
+    this.startController(label);
+  }
+
+  /** The state service has the limits that the settings announce. */
+  lowerLimits(): void {
+    const { value_kb, txn_ops, write_rps } = this.options.nextLimits ?? {};
+    this.store.lower({
+      ...(value_kb === undefined ? {} : { valueBytes: value_kb * 1024 }),
+      ...(txn_ops === undefined ? {} : { txnOps: txn_ops }),
+      ...(write_rps === undefined ? {} : { writeRps: write_rps }),
+    });
+  }
+
   goOn(label: string): void {
     this.processes.get(label)?.child.kill('SIGCONT');
   }
@@ -292,7 +324,9 @@
     file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
     const inner = file['settings'] as Record<string, unknown>;
     inner['workers'] = times;
-    inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20 };
+    const { nextLimits } = this.options;
+    const next = nextLimits ? { next: nextLimits } : {};
+    inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20, ...next };
     inner['cloud'] = { rps: 50, list_lag_s: 0.1 };
   }
 
--- /dev/null
+++ b/src/testing/production.ts
@@ -0,0 +1,25 @@
+/** The version in production, built from the history of the repository. */
+import { execFileSync } from 'node:child_process';
+import { mkdirSync, mkdtempSync, readFileSync, symlinkSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+
+const deployFile = 'deploy/service.toml';
+
+/** The commit that the deploy file names. */
+export function productionCommit(): string {
+  const commit = /^production = "([0-9a-f]{40})"$/m.exec(readFileSync(deployFile, 'utf8'))?.[1];
+  if (commit === undefined) throw new Error(`${deployFile} names no commit in production`);
+  return commit;
+}
+
+/** Builds it in a directory of its own, with the libraries of this checkout, and returns the path of the program. */
+export function buildProduction(): string {
+  const directory = mkdtempSync(join(tmpdir(), 'shalekeel-production-'));
+  const archive = execFileSync('git', ['archive', productionCommit()], { maxBuffer: 2 ** 30 });
+  execFileSync('tar', ['-x', '-C', directory], { input: archive });
+  symlinkSync(resolve('node_modules'), join(directory, 'node_modules'));
+  mkdirSync(join(directory, 'target'), { recursive: true });
+  execFileSync(process.execPath, ['build.js'], { cwd: directory });
+  return join(directory, 'target', 'main.js');
+}
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from '../model/types.js';
-import { isFields, list, number, text } from './codec.js';
+import { isFields, list, number, sizeOf, text } from './codec.js';
 
 /** The values we keep in the state service, under our own names: these are read by our own processes only. */
 
@@ -200,6 +200,15 @@
 /** Room that a job's record keeps for the ranges of its tasks, in the JSON form that limits are measured in. */
 export const leastPartsBytes = 256;
 
+/** Worst case of one range in that form. */
+const bytesPerPart = 24;
+
+/** How many ranges the record of a job may have as a value of the state service. */
+export function mostParts(spec: JobSpec, valueBytes: number): number {
+  const bytes = valueBytes - sizeOf(jobRecord({ spec, parts: [] }));
+  return Math.max(1, Math.floor(bytes / bytesPerPart));
+}
+
 export interface JobRecord {
   spec: JobSpec;
   /** What no range covers has yet to be dispatched by the leader: no block had room for it so far. */
