--- a/src/fault-scenarios/chains.test.ts
+++ b/src/fault-scenarios/chains.test.ts
@@ -38,7 +38,7 @@
 // Guards against `too_early`, and against a job that is never told of the end that it waits for.
 scenario(
   'a chain and a diamond run through while all controllers restart one after the other, and the limits fall',
-  { port: 25_000, taskMs: 400, nextLimits },
+  { port: 28_000, taskMs: 400, nextLimits },
   async (cluster) => {
     const chain = await submitChain(cluster, 1, 6);
     await cluster.submitSurely(submission(idOf(20), 3, { moorings: [idOf(1)] }));
@@ -55,7 +55,7 @@
 // Guards against ends that no controller knows after its start: the copy of the store begins without any.
 scenario(
   'a dependency was done before all controllers restarted, and its dependent is submitted afterwards',
-  { port: 25_040, taskMs: 300 },
+  { port: 28_040, taskMs: 300 },
   async (cluster) => {
     const [first = ''] = await submitChain(cluster, 1, 1);
     await cluster.submitSurely(submission(idOf(2), 4, { owner: 'red' }));
@@ -69,7 +69,7 @@
 // Guards against `orphaned`: a cascade that ends with whoever began it, or with the store's room for changes.
 scenario(
   'a job that a chain of ten and forty more need is cancelled as the leader ends, with few changes a second',
-  { port: 25_080, taskMs: 30_000, nextLimits },
+  { port: 28_080, taskMs: 30_000, nextLimits },
   async (cluster) => {
     const chain = await submitChain(cluster, 1, 10);
     const wide = Array.from({ length: 40 }, (_, i) => idOf(100 + i));
@@ -93,7 +93,7 @@
 // Guards against a submission that slips through between a cancellation and the copy of it at another controller.
 scenario(
   'the first job is cancelled while the others of its chain are being submitted elsewhere',
-  { port: 25_120, taskMs: 30_000 },
+  { port: 28_120, taskMs: 30_000 },
   async (cluster) => {
     for (let round = 0; round < 5; round++) {
       const from = 1 + round * 10;
@@ -117,7 +117,7 @@
 // Guards against a chain that hangs, or goes on and is cancelled, when its first job ends as somebody cancels it.
 scenario(
   'cancels meet the end of the first job: its dependents go on exactly where the answer was done',
-  { port: 25_160, taskMs: 500 },
+  { port: 28_160, taskMs: 500 },
   async (cluster) => {
     const chains = [];
     for (let i = 0; i < 6; i++) chains.push(await submitChain(cluster, 1 + i * 10, 3, 1));
@@ -141,7 +141,7 @@
 // on the word of a copy from before it.
 scenario(
   'the state service is out for longer than a cancellation may take, right after a cancel',
-  { port: 25_200, taskMs: 30_000 },
+  { port: 28_200, taskMs: 30_000 },
   async (cluster) => {
     const chain = await submitChain(cluster, 1, 5, 1);
     await cluster.until('the first runs', () => cluster.runningOf(idOf(1)).length === 1);
@@ -161,7 +161,7 @@
 // Guards against `orphaned` at a controller that is cut off from the state service alone and does not know it yet.
 scenario(
   'a controller is cut from the state service and its peers while a chain is cancelled, and is asked as it comes back',
-  { port: 25_240, taskMs: 30_000 },
+  { port: 28_240, taskMs: 30_000 },
   async (cluster) => {
     const chain = await submitChain(cluster, 1, 4, 1);
     await cluster.until('the first runs', () => cluster.runningOf(idOf(1)).length === 1);
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -52,7 +52,7 @@
 // directions, with a process that comes back old before its turn.
 scenario(
   'controllers are replaced one by one while jobs run, and one that dies before its turn comes back old',
-  { port: 24_000, taskMs: 900, capacity: 10, earlier, nextLimits },
+  { port: 29_000, taskMs: 900, capacity: 10, earlier, nextLimits },
   async (cluster) => {
     const ids = await submitMany(cluster, 1, 6, 40);
     await cluster.until('tasks run', () => cluster.runningOf('req-000001').length > 0);
@@ -81,7 +81,7 @@
 // Guards against a backlog that only one version can read, and against ledgers that outgrow the new limits at once.
 scenario(
   'all end together and come back new, and the limits fall as they do',
-  { port: 24_040, taskMs: 5000, capacity: 10, earlier, nextLimits },
+  { port: 29_040, taskMs: 5000, capacity: 10, earlier, nextLimits },
   async (cluster) => {
     const ids = await submitSmall(cluster, 6, 200);
     await cluster.until(
@@ -104,7 +104,7 @@
 // Guards against a handover in which a cancel or a refusal falls between two versions that count in different ways.
 scenario(
   'the state service refuses an old leader as a new one takes over, and a cancel falls in',
-  { port: 24_080, taskMs: 8000, capacity: 10, earlier, nextLimits },
+  { port: 29_080, taskMs: 8000, capacity: 10, earlier, nextLimits },
   async (cluster) => {
     const ids = await submitSmall(cluster, 4, 20);
     await cluster.until('all run', () => ids.every((id) => cluster.runningOf(id).length > 0));
--- a/src/placement/ledger.ts
+++ b/src/placement/ledger.ts
@@ -76,6 +76,12 @@
     return false;
   }
 
+  get pagesInUse(): number {
+    let count = 0;
+    for (const page of this.pages.values()) if (page.chunks.size > 0) count++;
+    return count;
+  }
+
   page(index: number): LedgerPage {
     let page = this.pages.get(index);
     if (!page) this.pages.set(index, (page = new LedgerPage(index)));
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -38,6 +38,8 @@
 const roundTransactions = 8;
 /** A controller's even share of the changes of so long is what gathering completions may cost at most. */
 const gatherChanges = 4;
+/** Likewise for each page of the ledger. */
+const gatherPages = 1 / 2;
 /** So many seconds of a controller's even share of the changes may be under way as ends. */
 const endingS = 2;
 const changesPerEnd = 2;
@@ -55,14 +57,20 @@
   /** Ends that are being committed. They take turns with the pages: both wait for the same changes. */
   private ending = 0;
   private readonly mostEnding: number;
-  /** How long completions are gathered before a page is written for their sake alone. */
-  private readonly gatherMs: number;
 
   constructor(private readonly ports: SchedulerPorts) {
-    const { reportMs, controllers, state } = ports.settings;
+    const { controllers, state } = ports.settings;
     this.mostEnding = Math.max(1, Math.floor((state.writeRps * endingS) / controllers / changesPerEnd));
-    // Where the store takes few changes, pages written for completions must not keep intents waiting.
-    this.gatherMs = Math.max(reportMs / 8, (gatherChanges * controllers * 1000) / state.writeRps);
+  }
+
+  /**
+   * How long completions are gathered before a page is written for their sake alone. Where the store takes few changes, or
+   * the pages are many, these must not keep intents waiting.
+   */
+  private gatherMs(pages: number): number {
+    const { reportMs, controllers, state } = this.ports.settings;
+    const changes = Math.max(gatherChanges, pages * gatherPages);
+    return Math.max(reportMs / 8, (changes * controllers * 1000) / state.writeRps);
   }
 
   /** Something changed that may let a task start. */
@@ -145,7 +153,9 @@
     const { blockState, store } = this.ports;
     const waitMs = Math.max(tickMs, store.writeWaitMs('duty'));
     if (blockState.ledger.presses && !store.failing) return Math.min(restMs, waitMs);
-    return blockState.ledger.isSoiled ? Math.min(restMs, this.gatherMs / 2) : restMs;
+    return blockState.ledger.isSoiled
+      ? Math.min(restMs, this.gatherMs(blockState.ledger.pagesInUse) / 2)
+      : restMs;
   }
 
   private async rest(ms: number): Promise<void> {
@@ -193,19 +203,24 @@
   }
 
   private persist(): void {
-    const { blockState, commits, clock } = this.ports;
+    const { blockState, commits, clock, settings } = this.ports;
     if (!this.mayCommit()) return;
     const { ledger } = blockState;
+    const gatherMs = this.gatherMs(ledger.pagesInUse);
     const now = clock();
-    const isDue = (page: LedgerPage): boolean =>
-      page.dirt === 'soon' && now - page.dirtySince > this.gatherMs;
-    // What something waits for goes before what can be learned again.
-    const pressing = [...ledger.pages.values()].filter((page) => page.dirt === 'now');
-    for (const page of [...pressing, ...[...ledger.pages.values()].filter(isDue)]) {
+    const pages = [...ledger.pages.values()].filter((page) => !page.busy);
+    for (const page of pages) {
       if (commits.full) return;
-      if (!page.busy) page.commit = this.commitPage(page);
+      if (page.dirt === 'now') page.commit = this.commitPage(page);
+    }
+    // What can be learned again fills up the next transaction: behind more of it, what comes to press would wait.
+    const due = pages
+      .filter((page) => page.dirt === 'soon' && now - page.dirtySince > gatherMs)
+      .sort((a, b) => a.dirtySince - b.dirtySince);
+    for (const page of due.slice(0, Math.max(0, settings.state.txnOps - commits.writableLength))) {
+      page.commit = this.commitPage(page);
     }
-    for (const page of ledger.dispensable()) void this.dropPage(page);
+    if (commits.writableLength === 0) for (const page of ledger.dispensable()) void this.dropPage(page);
   }
 
   private async dropPage(page: RetiredPage): Promise<void> {
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -68,6 +68,16 @@
 const watchHoldMs = 10_000;
 const itemsPerPage = 500;
 
+/** What the changes of the state service are spent on. */
+export interface ChangeCounts {
+  /** Changes asked for, by the kind of key. */
+  changes: Record<string, number>;
+  /** Transactions beyond the limits. */
+  refused: number;
+  /** Changes of transactions whose conditions did not hold: they count towards the limits as well. */
+  conflicts: number;
+}
+
 export class StoreClient {
   private readonly peer: HttpPeer;
   private readonly watchPeer: HttpPeer;
@@ -77,7 +87,7 @@
   private readonly intakeWrites: Pacer;
   private role = { leading: false, alive: 1, machines: 0 };
   private readonly adaptiveShare: AdaptiveShare;
-  private counts: { changes: Record<string, number>; refused: number } = { changes: {}, refused: 0 };
+  private counts: ChangeCounts = { changes: {}, refused: 0, conflicts: 0 };
   private openWatch: AbortController | undefined;
   /** What we know of the store's changes; whether it serves us is another matter, see `lastContact`. */
   private readonly freshness = new FreshnessBound();
@@ -210,10 +220,10 @@
     this.openWatch?.abort();
   }
 
-  /** Changes asked for since this was last called, by the kind of key, and how many commits the service refused. */
-  takeCounts(): { changes: Record<string, number>; refused: number } {
+  /** Since this was last called. */
+  takeCounts(): ChangeCounts {
     const { counts } = this;
-    this.counts = { changes: {}, refused: 0 };
+    this.counts = { changes: {}, refused: 0, conflicts: 0 };
     return counts;
   }
 
@@ -244,6 +254,7 @@
     }
     const refused = answer.status === 429;
     if (refused) this.counts.refused++;
+    if (answer.status === 409) this.counts.conflicts += writes.length;
     for (const write of writes) {
       const root = writtenKey(write).split('/', 1)[0] ?? '';
       this.counts.changes[root] = (this.counts.changes[root] ?? 0) + 1;
