--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -1,6 +1,6 @@
 import type { JobSpec, Resources } from '../model/types.js';
 import type { End, LedgerEntry, Part } from '../wire/records.js';
-import { fromRanges, toRanges } from '../wire/records.js';
+import { compactEntryBytes, entryBytes, fromRanges, toRanges } from '../wire/records.js';
 import type { Chunk, Dirt, Ledger, LedgerPage } from './ledger.js';
 
 /**
@@ -157,8 +157,8 @@
 
   /** Takes over what the store has, and returns the tasks that are on machines. */
   load(entry: LedgerEntry, page: LedgerPage): Task[] {
-    const most = this.spec ? this.chunkSize : entry.active.length + entry.waiting.length;
-    this.chunks.set(entry.chunk, this.ledger.add(this, entry.chunk, most, page));
+    const tasks = this.spec ? this.chunkSize : entry.active.length + entry.waiting.length;
+    this.chunks.set(entry.chunk, this.ledger.add(this, entry.chunk, this.bytesFor(entry.chunk, tasks), page));
     return this.take(entry);
   }
 
@@ -289,6 +289,11 @@
     return Math.floor(index / this.perChunk);
   }
 
+  /** What the entry of a chunk needs room for. */
+  private bytesFor(chunk: number, tasks: number): number {
+    return this.sizedEntries ? compactEntryBytes(this.entryOf(chunk).entry, tasks) : entryBytes(tasks);
+  }
+
   private get chunkSize(): number {
     return Math.min(this.perChunk, this.spec?.tasks ?? this.perChunk);
   }
@@ -296,7 +301,10 @@
   private soil(index: number, dirt: Exclude<Dirt, 'clean'>, now: number): Chunk {
     const at = this.chunkOf(index);
     let chunk = this.chunks.get(at);
-    if (!chunk) this.chunks.set(at, (chunk = this.ledger.add(this, at, this.chunkSize)));
+    if (!chunk) {
+      chunk = this.ledger.add(this, at, this.bytesFor(at, this.chunkSize));
+      this.chunks.set(at, chunk);
+    }
     chunk.entry = undefined;
     chunk.page.soil(dirt, now);
     return chunk;
--- a/src/placement/ledger-layout.test.ts
+++ b/src/placement/ledger-layout.test.ts
@@ -15,7 +15,7 @@
 const tasks = 300;
 const settings = testSettings((file) => {
   const { state } = file['settings'] as { state: Record<string, unknown> };
-  state['next'] = { value_kb: 2, txn_ops: 6 };
+  state['next'] = { value_kb: 1, txn_ops: 6 };
 });
 const small = ledgerLayout(settings, true);
 
@@ -72,7 +72,7 @@
     assert.equal(ledgerLayout(settings, false).inherited, true);
     assert.equal(ledgerLayout(testSettings(), true).inherited, true);
     assert.equal(small.inherited, false);
-    assert.ok(small.pageBytes <= 2048);
+    assert.ok(small.pageBytes <= 1024);
   });
 
   // Guards against tasks that vanish from the record, and start once more, because two sizes of entries meet: whoever is
@@ -88,7 +88,7 @@
     for (const page of ledger.pages.values()) {
       const shot = snapshot(page, Infinity, () => assert.fail('nothing is taken off'));
       const value = ledgerPage(shot.entries);
-      assert.ok(sizeOf(value) <= 2048, `${sizeOf(value)} bytes`);
+      assert.ok(sizeOf(value) <= 1024, `${sizeOf(value)} bytes`);
       assert.equal(ledger.dispensable().length, 0);
       await store.commit('duty', [], [{ put: ledgerKey(0, page.index), value }]);
       ledger.noteWritten(shot.chunks);
@@ -125,7 +125,7 @@
 
   test('whose entries are smaller than those of the settings keeps them small', async () => {
     const store = await storeWithKeptPage();
-    const value = [[id, 0, 'red', 2, 0, 2, [[3, 1, 'vm-1']], [], [0, 2], 10]];
+    const value = [[id, 0, 'red', 2, 0, 2, [3, 1], [], [], [0, 2], 10, ['vm-', 1]]];
     await store.commit('duty', [], [{ put: ledgerKey(0, 0), value }]);
     const blockState = await blockStateOf(store, ledgerLayout(settings, false));
     assert.equal(blockState.ledger.retired.size, 0);
--- a/src/placement/ledger-layout.ts
+++ b/src/placement/ledger-layout.ts
@@ -1,6 +1,6 @@
 /** How large the pages of a ledger are, and how many tasks share an entry. */
 import type { Settings } from '../settings/settings.js';
-import { entryBytes, leastPageBytes, tasksPerChunk } from '../wire/records.js';
+import { compactTasksPerChunk, entryBytes, leastPageBytes, tasksPerChunk } from '../wire/records.js';
 
 export interface LedgerLayout {
   pageBytes: number;
@@ -45,5 +45,5 @@
   if (!upgraded || valueBytes === presentValueBytes) return inherited;
   const leastBytes = usualPage.chunks * entryBytes(usualPage.tasksPerChunk);
   const pageBytes = valueBytes / pagesPerValue(settings, valueBytes, leastBytes);
-  return { pageBytes, chunkTasks: tasksPerChunk(pageBytes), inherited: false };
+  return { pageBytes, chunkTasks: compactTasksPerChunk(pageBytes), inherited: false };
 }
--- a/src/placement/ledger.ts
+++ b/src/placement/ledger.ts
@@ -1,4 +1,4 @@
-import { type LedgerEntry, entryBytes, writtenBytes } from '../wire/records.js';
+import { type LedgerEntry, writtenBytes } from '../wire/records.js';
 import type { JobState, Task } from './job-state.js';
 
 /** `soon`: what changed can also be learned from the workers again. `now`: something waits for the commit. */
@@ -10,8 +10,12 @@
   readonly index: number;
   readonly page: LedgerPage;
   readonly bytes: number;
-  /** Its entry as last built, while nothing of it has changed since. */
+  /** Its entry as last built, while nothing of it has changed since, with what it takes. */
   entry: LedgerEntry | undefined;
+  bytesWritten: number;
+  /** Tasks that the entry names and that are being placed, or are done and not known to be committed. */
+  placing: Task[];
+  done: number[];
 }
 
 export class LedgerPage {
@@ -62,7 +66,7 @@
   readonly pages = new Map<number, LedgerPage>();
   readonly retired = new Map<number, RetiredPage>();
 
-  constructor(private readonly pageBytes: number) {}
+  constructor(readonly pageBytes: number) {}
 
   /** Something waits for its commit. */
   get presses(): boolean {
@@ -88,11 +92,19 @@
     return page;
   }
 
-  /** `at`: where the store has it. */
-  add(job: JobState, index: number, tasks: number, at?: LedgerPage): Chunk {
-    const bytes = entryBytes(tasks);
+  /** `bytes`: what its entry needs room for; `at`: where the store has it. */
+  add(job: JobState, index: number, bytes: number, at?: LedgerPage): Chunk {
     const page = at ?? this.withRoom(bytes);
-    const chunk: Chunk = { job, index, page, bytes, entry: undefined };
+    const chunk: Chunk = {
+      job,
+      index,
+      page,
+      bytes,
+      entry: undefined,
+      bytesWritten: 0,
+      placing: [],
+      done: [],
+    };
     page.chunks.add(chunk);
     page.bytes += bytes;
     return chunk;
@@ -121,26 +133,57 @@
 
 /**
  * The page as it should stand in the store, with the tasks that its commit would turn from placing to placed. A commit
- * can be conditioned on so many jobs only: tasks of further ones are taken off, to be placed again.
+ * can be conditioned on so many jobs only, and a page holds so many bytes: tasks beyond that are taken off, to be placed
+ * again. Without tasks that are being placed a page may be too large for a while: what is on machines takes more room than
+ * what is done.
  */
-export function snapshot(page: LedgerPage, mostJobs: number, takeOff: (task: Task) => void): PageSnapshot {
-  const shot: PageSnapshot = { chunks: [...page.chunks], entries: [], bytes: 0, placing: [], done: [] };
+export function snapshot(
+  page: LedgerPage,
+  mostJobs: number,
+  takeOff: (task: Task) => void,
+  mostBytes = Infinity,
+): PageSnapshot {
   const jobs = new Set<JobState>();
   for (const chunk of page.chunks) {
-    const { job } = chunk;
-    if (!chunk.entry) {
-      const placing = [...job.tasksOf(chunk.index)].filter((task) => task.phase === 'placing');
-      if (placing.length > 0 && !jobs.has(job) && jobs.size >= mostJobs) {
-        for (const task of placing.splice(0)) takeOff(task);
-      }
-      if (placing.length > 0) jobs.add(job);
-      shot.placing.push(...placing);
-      const { entry, done } = job.entryOf(chunk.index);
-      chunk.entry = entry;
-      if (done.length > 0) shot.done.push({ job, indices: done });
-    }
-    shot.entries.push(chunk.entry);
-    shot.bytes += writtenBytes(chunk.entry);
+    refresh(chunk);
+    if (chunk.placing.length === 0) continue;
+    if (jobs.has(chunk.job) || jobs.size < mostJobs) jobs.add(chunk.job);
+    else takeOffPlacing(chunk, takeOff);
+  }
+  let bytes = 0;
+  for (const { bytesWritten } of page.chunks) bytes += bytesWritten;
+  for (const chunk of [...page.chunks].reverse()) {
+    if (bytes <= mostBytes) break;
+    bytes -= chunk.bytesWritten;
+    takeOffPlacing(chunk, takeOff);
+    bytes += chunk.bytesWritten;
+  }
+  return assemble(page, bytes);
+}
+
+/** Builds the entry anew where anything of its tasks has changed. */
+function refresh(chunk: Chunk): void {
+  if (chunk.entry) return;
+  const { entry, done } = chunk.job.entryOf(chunk.index);
+  chunk.entry = entry;
+  chunk.done = done;
+  chunk.placing = [...chunk.job.tasksOf(chunk.index)].filter((task) => task.phase === 'placing');
+  chunk.bytesWritten = writtenBytes(entry);
+}
+
+function takeOffPlacing(chunk: Chunk, takeOff: (task: Task) => void): void {
+  for (const task of chunk.placing) takeOff(task);
+  refresh(chunk);
+}
+
+function assemble(page: LedgerPage, bytes: number): PageSnapshot {
+  const shot: PageSnapshot = { chunks: [...page.chunks], entries: [], bytes, placing: [], done: [] };
+  for (const chunk of page.chunks) {
+    if (chunk.entry) shot.entries.push(chunk.entry);
+    shot.placing.push(...chunk.placing);
+    if (chunk.done.length > 0) shot.done.push({ job: chunk.job, indices: chunk.done });
+    chunk.placing = [];
+    chunk.done = [];
   }
   return shot;
 }
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -51,6 +51,29 @@
   assert.equal(jobs[2]?.waiting, 2);
 });
 
+// Guards against a page that the store refuses for good: what is on machines takes more room than was set aside for it.
+test('a page of compact entries takes no more tasks than it has room for, and gets room as they are done', () => {
+  const ledger = new Ledger(600);
+  const at = { block: 0, ledger, perChunk: 20, sizedEntries: true };
+  const jobs = ['req-1', 'req-2'].map((id) => JobState.of(jobSpec(id, 20), 1, at));
+  for (const [i, job] of jobs.entries()) {
+    job.assignRanges([{ block: 0, first: 0, count: 20 }], 1);
+    // Names that cannot be shortened, each of its own.
+    for (let task = job.next(); task; task = job.next()) job.place(task, `machine-${i}-${task.index}-x`, 0);
+  }
+  assert.equal(ledger.pages.size, 1);
+  const page = ledger.page(0);
+  const first = snapshot(page, 9, (task) => task.job.giveBack(task, 0), ledger.pageBytes);
+  assert.deepEqual([...new Set(first.placing.map((task) => task.job.id))], ['req-1']);
+  assert.ok(sizeOf(ledgerPage(first.entries)) <= 600);
+  assert.equal(jobs[1]?.waiting, 20);
+  for (const task of first.placing) task.phase = 'placed';
+  for (let i = 0; i < 20; i++) jobs[0]?.finish(i, 0);
+  for (let task = jobs[1]?.next(); task; task = jobs[1]?.next()) jobs[1]?.place(task, 'm-1', 0);
+  const second = snapshot(page, 9, () => assert.fail('there is room'), ledger.pageBytes);
+  assert.equal(second.placing.length, 20);
+});
+
 test('what has not changed since the last commit is not gathered again, and an ended job leaves its page', () => {
   const ledger = new Ledger(valueBytes);
   const [one, two] = [jobIn(ledger, 'req-1', 2), jobIn(ledger, 'req-2', 2)];
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -278,7 +278,10 @@
     const key = ledgerKey(blockState.block, page.index);
     page.busy = true;
     page.dirt = 'clean';
-    const shot = snapshot(page, settings.state.txnOps * jobsPerCommit, (task) => blockState.takeOff(task));
+    const { pageBytes } = blockState.ledger;
+    const mostJobs = settings.state.txnOps * jobsPerCommit;
+    const shot = snapshot(page, mostJobs, (task) => blockState.takeOff(task), pageBytes);
+    if (shot.bytes > pageBytes) return this.putOff(page);
     // A job's record goes with its end, so its version says that the job is open, and placed as we know it.
     const jobs = new Map(shot.placing.map(({ job }) => [job, job.version]));
     const attempts = new Map(shot.placing.map((task) => [task, task.attempt]));
@@ -304,6 +307,17 @@
     if (!this.ports.signal.aborted && !this.ports.store.failing) this.persist();
   }
 
+  /** Too large for a value: it is written once enough of its tasks are done. */
+  private putOff(page: LedgerPage): void {
+    for (const chunk of page.chunks) chunk.entry = undefined;
+    page.busy = false;
+    page.soil('soon', this.ports.clock());
+    this.ports.log.info(
+      { event: 'page-put-off', page: page.index },
+      'a page of the ledger is too large for now',
+    );
+  }
+
   private async recover(
     page: LedgerPage,
     shot: PageSnapshot,
--- a/src/wire/codec.test.ts
+++ b/src/wire/codec.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Packr } from 'msgpackr';
-import { decodeFields, number, sizeOf } from './codec.js';
+import { decode, decodeFields, encode, number, sizeOf } from './codec.js';
 import {
   blockRecord,
   entryBytes,
@@ -10,6 +10,10 @@
   parseBlock,
   rangesSize,
   tasksPerChunk,
+  compactEntryBytes,
+  compactTasksPerChunk,
+  parseLedgerPage,
+  writtenBytes,
   toRanges,
 } from './records.js';
 import { parseReport } from './workers.js';
@@ -96,6 +100,40 @@
   );
 });
 
+test('a compact entry gives back what went in, whatever its machines are called', () => {
+  const entry = {
+    ...{ id: 'req-123456', chunk: 2, team: 'red', cpus: 0.5, accelerators: 0, memoryGb: 3.2, chunkTasks: 40 },
+    active: [
+      [80, 1, 'vm-000231'],
+      [81, 1, 'vm-1000231'],
+      [83, 1, 'odd'],
+      [85, 1, ''],
+      [82, 3, 'vm-000007'],
+      [84, 2, 'vm-00000x'],
+    ] as [number, number, string][],
+    ...{ waiting: [[86, 4]] as [number, number][], done: [90, 95, 97, 97] },
+  };
+  assert.deepEqual(parseLedgerPage(decode(encode(ledgerPage([entry])))), [entry]);
+  const idle = { ...entry, active: [] };
+  assert.deepEqual(parseLedgerPage(ledgerPage([idle])), [idle]);
+});
+
+test('a compact entry with no task on a machine stays within what is set aside for it', () => {
+  const tasks = compactTasksPerChunk(2048);
+  const first = 99_000;
+  const base = {
+    ...{ id: 'req-123456', chunk: 999, team: 'a-team-with-a-long-name', cpus: 12.25, accelerators: 1.5 },
+    ...{ memoryGb: 123.75, active: [], waiting: [], done: [], chunkTasks: tasks },
+  };
+  const waiting = Array.from({ length: tasks }, (_, i): [number, number] => [first + i, 12]);
+  const done = toRanges(Array.from({ length: tasks / 2 }, (_, i) => first + i * 2));
+  const isDone = (index: number): boolean => (index - first) % 2 === 0;
+  const mixed = { ...base, waiting: waiting.filter(([index]) => !isDone(index)), done };
+  for (const entry of [{ ...base, waiting }, mixed, { ...base, done }]) {
+    assert.ok(writtenBytes(entry) <= compactEntryBytes(base, tasks));
+  }
+});
+
 test('ranges give back what went in', () => {
   const numbers = [0, 1, 2, 5, 9, 10];
   const ranges = toRanges(numbers);
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -269,30 +269,98 @@
 
 /** A page of a block's ledger holds entries of many jobs, so that one change of the store records a whole round. */
 export function ledgerPage(entries: LedgerEntry[]): unknown {
-  return entries.map((e) => [
-    ...[e.id, e.chunk, e.team, e.cpus, e.accelerators, e.memoryGb],
-    ...[e.active, e.waiting, e.done],
-    ...(e.chunkTasks === undefined ? [] : [e.chunkTasks]),
-  ]);
+  return entries.map(ledgerEntry);
+}
+
+export function ledgerEntry(entry: LedgerEntry): unknown {
+  const { id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done } = entry;
+  const job = [id, chunk, team, cpus, accelerators, memoryGb];
+  return entry.chunkTasks === undefined ? [...job, active, waiting, done] : [...job, ...compactTasks(entry)];
 }
 
 /** Every controller reads every page of all the others, so the lists are taken as they come: we alone write them. */
 export function parseLedgerPage(value: unknown): LedgerEntry[] {
   return list(value)
     .map((entry) => {
-      const [id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done, chunkTasks] = list(entry);
+      const [id, chunk, team, cpus, accelerators, memoryGb, ...tasks] = list(entry);
       return {
         ...{ id: text(id), chunk: number(chunk), team: text(team) },
         ...{ cpus: number(cpus), accelerators: number(accelerators), memoryGb: number(memoryGb) },
-        active: list(active) as LedgerEntry['active'],
-        waiting: list(waiting) as LedgerEntry['waiting'],
-        done: list(done) as number[],
-        ...(chunkTasks === undefined ? {} : { chunkTasks: number(chunkTasks) }),
+        ...(tasks.length > plainLists ? parseCompactTasks(tasks) : parsePlainTasks(tasks)),
       };
     })
     .filter((entry) => entry.id !== '');
 }
 
+type EntryTasks = Pick<LedgerEntry, 'active' | 'waiting' | 'done' | 'chunkTasks'>;
+
+/** Entries of earlier versions end with the lists of active, waiting and done tasks. */
+const plainLists = 3;
+
+function parsePlainTasks([active, waiting, done]: unknown[]): EntryTasks {
+  return {
+    active: list(active) as LedgerEntry['active'],
+    waiting: list(waiting) as LedgerEntry['waiting'],
+    done: list(done) as number[],
+  };
+}
+
+/** How the names of machines are shortened to their numbers: a prefix, and the digits that follow it. */
+type MachineNames = [prefix: string, digits: number];
+
+const numberedName = /^(.*?)([0-9]{1,15})$/;
+
+function namesLike(machine: string): MachineNames {
+  const [, prefix = '', digits = ''] = numberedName.exec(machine) ?? [];
+  return [prefix, digits.length];
+}
+
+function shortName(machine: string, [prefix, digits]: MachineNames): number | string {
+  const isLike = machine.length === prefix.length + digits && machine.startsWith(prefix);
+  const rest = machine.slice(prefix.length);
+  return isLike && digits > 0 && /^[0-9]+$/.test(rest) ? Number(rest) : machine;
+}
+
+function longName(name: unknown, [prefix, digits]: MachineNames): string {
+  return typeof name === 'number' ? prefix + String(name).padStart(digits, '0') : text(name);
+}
+
+/**
+ * Flat lists, since each change writes a whole page: first attempts as pairs of task and machine, later ones as triples with
+ * the attempt, waiting tasks as pairs with their last attempt, ranges of completed tasks.
+ */
+function compactTasks({ active, waiting, done, chunkTasks }: LedgerEntry): unknown[] {
+  const names = namesLike(active[0]?.[2] ?? '');
+  const first: (number | string)[] = [];
+  const later: (number | string)[] = [];
+  for (const [index, attempt, machine] of active) {
+    if (attempt === 1) first.push(index, shortName(machine, names));
+    else later.push(index, attempt, shortName(machine, names));
+  }
+  return [first, later, waiting.flat(), done, chunkTasks, names];
+}
+
+function parseCompactTasks([first, later, waiting, done, chunkTasks, nameForm]: unknown[]): EntryTasks {
+  const [prefix, digits] = list(nameForm);
+  const names: MachineNames = [text(prefix), number(digits)];
+  const active: LedgerEntry['active'] = [];
+  for (const [index, machine] of groups(first, 2)) active.push([number(index), 1, longName(machine, names)]);
+  for (const [index, attempt, machine] of groups(later, 3)) {
+    active.push([number(index), number(attempt), longName(machine, names)]);
+  }
+  return {
+    active,
+    waiting: groups(waiting, 2).map(([index, attempt]) => [number(index), number(attempt)]),
+    done: list(done) as number[],
+    chunkTasks: number(chunkTasks),
+  };
+}
+
+function groups(flat: unknown, size: number): unknown[][] {
+  const all = list(flat);
+  return Array.from({ length: Math.floor(all.length / size) }, (_, i) => all.slice(i * size, (i + 1) * size));
+}
+
 /** Worst case of one task, and of an entry without its tasks, in the JSON form that limits are measured in. */
 const bytesPerTask = 28;
 const bytesPerEntry = 120;
@@ -310,11 +378,26 @@
   return bytesPerEntry + tasks * bytesPerTask;
 }
 
-/** What an entry takes as it stands, at the most. */
-export function writtenBytes({ active, waiting, done }: LedgerEntry): number {
+/** What an entry takes as it stands, at the most; compact ones are measured, since they may fill a page to the last byte. */
+export function writtenBytes(entry: LedgerEntry): number {
+  if (entry.chunkTasks !== undefined) return sizeOf(ledgerEntry(entry)) + 1;
+  const { active, waiting, done } = entry;
   return bytesPerEntry + (active.length + waiting.length + done.length) * bytesPerTask;
 }
 
+/** Worst case of a task in a compact entry while it is on no machine, and an entry without its tasks as it mostly is. */
+const bytesPerIdleTask = 11;
+const bytesPerCompactEntry = 80;
+
+export function compactTasksPerChunk(pageBytes: number): number {
+  return Math.max(1, Math.floor((pageBytes * chunkShare - bytesPerCompactEntry) / bytesPerIdleTask));
+}
+
+/** What an entry with so many tasks takes once none of them is on a machine. */
+export function compactEntryBytes(entry: LedgerEntry, tasks: number): number {
+  return writtenBytes({ ...entry, active: [], waiting: [], done: [] }) + tasks * bytesPerIdleTask;
+}
+
 export function toRanges(sorted: Iterable<number>): number[] {
   const ranges: number[] = [];
   for (const n of sorted) {
