--- a/src/blocks/block-allocator.test.ts
+++ b/src/blocks/block-allocator.test.ts
@@ -24,6 +24,12 @@
     this.version_++;
   }
 
+  readonly upgraded = false;
+
+  stored(): undefined {
+    return undefined;
+  }
+
   version(): number {
     return this.version_;
   }
--- a/src/blocks/block-allocator.ts
+++ b/src/blocks/block-allocator.ts
@@ -19,6 +19,8 @@
 }
 
 const tickMs = 200;
+/** Changes of blocks that do not press are gathered for this part of a report interval. */
+const gatherReports = { inline: 1 / 2, paged: 1 };
 
 /** The leader's leasing of machines and of shares of the teams' limits; the dispatching of work follows it. */
 export class BlockAllocator {
@@ -62,7 +64,7 @@
     const alive = this.alive();
     // What does not press is gathered: every new version of a block fails the intents that its owner has under way.
     const pressing = blocks.size < settings.controllers || this.ownersChange(blocks);
-    if (!pressing && clock() - this.leasedAt < settings.reportMs / 2) return;
+    if (!pressing && clock() - this.leasedAt < settings.reportMs * this.gatherReports(blocks)) return;
     this.leasedAt = clock();
     const next = nextBlocks({
       count: settings.controllers,
@@ -117,6 +119,13 @@
     } else log.debug({ event: 'lease-failed', block, outcome, at: clock() }, 'block not leased');
   }
 
+  /** A lease of a block on pages takes changes of its pages as well. */
+  private gatherReports(blocks: ReadonlyMap<number, BlockRecord>): number {
+    const { registry } = this.ports;
+    const isPaged = [...blocks.keys()].some((block) => registry.stored(block)?.inline === false);
+    return isPaged ? gatherReports.paged : gatherReports.inline;
+  }
+
   private ownersChange(blocks: ReadonlyMap<number, BlockRecord>): boolean {
     return [...blocks.values()].some((record) => !this.ports.registry.isAlive(record.owner));
   }
--- a/src/blocks/block-writer.ts
+++ b/src/blocks/block-writer.ts
@@ -127,11 +127,11 @@
     return { outcome, version: unchanged.version };
   }
 
-  /** Once on pages, a block stays there. */
+  /** Once on pages, a block stays there: whoever wrote it so knew that all controllers read it. */
   private needsPages(block: number, next: BlockRecord): boolean {
     const { registry, settings } = this.ports;
-    if (!registry.upgraded) return false;
     if (registry.stored(block)?.inline === false) return true;
+    if (!registry.upgraded) return false;
     return sizeOf(blockRecord(next)) > settings.state.valueBytes * inlineShare;
   }
 
