Ends go out before pages, and the leader's commits no longer queue behind the pages of its own block

Dispatches waited while more than three operations of the leader's own block were queued, and a job's end behind pages of completions, which a chain pays four times over.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -48,7 +48,7 @@
 const typesEveryMs = 30_000;
 const typesRetryMs = 1000;
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
-const stageTransactions = { duty: 4, writes: 4, confirms: 8 };
+const stageTransactions = { duty: 4, lead: 4, writes: 4, confirms: 8 };
 const socketShare = 0.8;
 /** One turn of the event loop serves reports for this part of a report interval, before it looks at other sockets. */
 const sliceReports = 1 / 80;
@@ -98,7 +98,7 @@
   private readonly types = new Map<string, MachineType>();
   /** What most slices need; a term adds itself for what only a leader runs. */
   private readonly parts: Parts;
-  private readonly stages: Record<Lane, CommitStage>;
+  private readonly stages: Record<Lane | 'lead', CommitStage>;
   private readonly store: StoreClient;
   private readonly mirror: Mirror;
   private readonly jobIndex: JobIndex;
@@ -139,6 +139,8 @@
       new CommitStage(store, lane, settings, signal, transactions * settings.state.txnOps);
     this.stages = {
       duty: stage('duty', stageTransactions.duty),
+      // What all blocks wait for does not queue behind the pages of one.
+      lead: stage('duty', stageTransactions.lead),
       intake: stage('intake', stageTransactions.writes),
       confirm: stage('confirm', stageTransactions.confirms),
     };
@@ -249,7 +251,7 @@
     // The copy must hold all that earlier leaders committed.
     while (!term.signal.aborted && mirror.revision < term.token) await sleep(20, term.signal);
     if (term.signal.aborted) return;
-    const shared = { ...this.parts, term };
+    const shared = { ...this.parts, commits: this.stages.lead, term };
     const fleet = new Fleet({
       ...shared,
       firstEver: registry.blocks().size === 0,
@@ -376,9 +378,10 @@
     if (clock() - this.storeLoggedAt < operator.ladder.periodS * 1000) return;
     this.storeLoggedAt = clock();
     log.info({ event: 'store', ...store.takeCounts() }, 'changes of the state service');
-    const { duty, intake, confirm } = this.stages;
+    const { duty, lead, intake, confirm } = this.stages;
     const queued = {
       duty: duty.writableLength,
+      lead: lead.writableLength,
       intake: intake.writableLength,
       confirm: confirm.writableLength,
     };
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -55,6 +55,7 @@
   private readonly gone = new Map<string, number>();
   /** Machines with tasks that they should not have: their teams are charged for them all the same. */
   private readonly withStrays = new Set<MachineState>();
+  private readonly completed = new Set<JobState>();
   private waiting: JobState[] | undefined;
   private sortedAt = -Infinity;
   private readonly order: OrderOfWork;
@@ -155,6 +156,13 @@
     return this.waiting;
   }
 
+  /** Jobs of which the last task here has completed since this was last asked. */
+  takeCompleted(): JobState[] {
+    const completed = [...this.completed];
+    this.completed.clear();
+    return completed;
+  }
+
   endJob(job: JobState, end: 'done' | 'cancelled'): void {
     this.waiting = undefined;
     job.ended ??= end;
@@ -195,6 +203,7 @@
         const task = finding.job.tasks.get(finding.index);
         // One that the leader has taken back meanwhile stays on its machine's books until it is ours again.
         if (!finding.job.finish(finding.index, now)) continue;
+        if (finding.job.complete) this.completed.add(finding.job);
         if (task && task.machine !== '') this.machines.get(task.machine)?.tasks.delete(taskKey(refOf(task)));
       } else this.left(machine, finding.task, finding.cause, now);
     }
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -205,6 +205,8 @@
   private persist(): void {
     const { blockState, commits, clock, settings } = this.ports;
     if (!this.mayCommit()) return;
+    // Users wait for the end of a job, and so do the jobs that need it.
+    for (const job of blockState.takeCompleted()) this.endIfOver(job);
     const { ledger } = blockState;
     const gatherMs = this.gatherMs(ledger.pagesInUse);
     const now = clock();
@@ -245,17 +247,19 @@
   }
 
   private endJobs(): void {
-    const { blockState, commits, clock } = this.ports;
     if (!this.mayCommit()) return;
-    for (const job of blockState.jobs.values()) {
-      if (job.ending) continue;
-      if (job.ended) {
-        if (job.active > 0) continue;
-        job.leaveLedger(clock());
-        blockState.jobs.delete(job.id);
-      } else if (this.ending < this.mostEnding && !commits.full && job.complete && this.othersComplete(job)) {
-        void this.commitDone(job);
-      }
+    for (const job of this.ports.blockState.jobs.values()) this.endIfOver(job);
+  }
+
+  private endIfOver(job: JobState): void {
+    const { blockState, commits, clock } = this.ports;
+    if (job.ending) return;
+    if (job.ended) {
+      if (job.active > 0) return;
+      job.leaveLedger(clock());
+      blockState.jobs.delete(job.id);
+    } else if (this.ending < this.mostEnding && !commits.full && job.complete && this.othersComplete(job)) {
+      void this.commitDone(job);
     }
   }
 
