--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -8,6 +8,7 @@
 import { sizeOf } from '../wire/codec.js';
 
 const nextLimits = { value_kb: 2, txn_ops: 6, write_rps: 150 };
+const nextBytes = nextLimits.value_kb * 1024;
 const idOf = (i: number): string => `req-${String(i).padStart(6, '0')}`;
 const earlier = { program: '', labels };
 
@@ -21,18 +22,9 @@
   execFileSync('git', ['merge-base', '--is-ancestor', productionCommit(), 'HEAD']);
 });
 
-/** Jobs enough for several machines in each block, and ledgers with done, running and waiting tasks. */
-async function submitMany(cluster: Cluster, from: number, count: number, tasks: number): Promise<string[]> {
-  const ids = Array.from({ length: count }, (_, i) => idOf(from + i));
-  for (const [i, id] of ids.entries()) {
-    await cluster.submitSurely(submission(id, tasks, { owner: i % 2 === 0 ? 'blue' : 'red' }), i);
-  }
-  return ids;
-}
-
 /** Jobs of a team without a limit, of tasks so small that a machine runs dozens of them. */
-async function submitSmall(cluster: Cluster, count: number, tasks: number): Promise<string[]> {
-  const ids = Array.from({ length: count }, (_, i) => idOf(1 + i));
+async function submitSmall(cluster: Cluster, from: number, count: number, tasks: number): Promise<string[]> {
+  const ids = Array.from({ length: count }, (_, i) => idOf(from + i));
   const small = { owner: 'blue', cpus: 0.25, memoryGb: 0.25 };
   for (const [i, id] of ids.entries()) await cluster.submitSurely(submission(id, tasks, small), i);
   return ids;
@@ -42,6 +34,12 @@
   return Math.max(...[...cluster.store.keys.values()].map(({ value }) => sizeOf(value)));
 }
 
+function ownersOf(cluster: Cluster): string[] {
+  return labels.map((_, block) =>
+    String((cluster.store.value(`block/${block}`) as { owner?: string }).owner),
+  );
+}
+
 async function upgradedEverywhere(cluster: Cluster): Promise<void> {
   await cluster.until('all have announced their format', () =>
     labels.every((label) => cluster.store.value(`formats/${label}`) !== undefined),
@@ -52,29 +50,39 @@
 // directions, with a process that comes back old before its turn.
 scenario(
   'controllers are replaced one by one while jobs run, and one that dies before its turn comes back old',
-  { port: 29_000, taskMs: 900, capacity: 10, earlier, nextLimits },
+  { port: 29_000, taskMs: 2500, capacity: 10, earlier, nextLimits },
   async (cluster) => {
-    const ids = await submitMany(cluster, 1, 6, 40);
-    await cluster.until('tasks run', () => cluster.runningOf('req-000001').length > 0);
+    const ids = await submitSmall(cluster, 1, 4, 150);
+    await cluster.until('tasks run', () => cluster.runningOf(idOf(1)).length > 0);
     const first = await cluster.leading();
-    const others = labels.filter((label) => label !== first);
-    // An old leader with a new owner, and then a new leader with old ones.
-    await cluster.upgrade(others[0] ?? '');
-    cluster.killProcess(others[1] ?? '');
+    const [second = '', third = ''] = labels.filter((label) => label !== first);
+    // An old leader with a new owner, whose block an old one takes over and gives back.
+    await cluster.upgrade(second);
+    ids.push(...(await submitSmall(cluster, 50, 2, 100)));
+    await pause(4 * reportMs);
+    cluster.stopController(second);
+    await cluster.until('its block has another owner', () => !ownersOf(cluster).includes(second));
+    await pause(4 * reportMs);
+    cluster.startController(second);
+    // One that dies before its turn.
+    cluster.killProcess(third);
     await pause(2 * reportMs);
-    cluster.startProcess(others[1] ?? '', earlier.program);
-    ids.push(...(await submitMany(cluster, 100, 3, 30)));
+    cluster.startProcess(third, earlier.program);
+    ids.push(...(await submitSmall(cluster, 100, 3, 100)));
     await pause(3 * reportMs);
-    assert.equal(await cluster.cancelSurely('req-000003'), 'cancelled');
+    assert.equal(await cluster.cancelSurely(idOf(3)), 'cancelled');
+    // A new leader with old owners.
     await cluster.upgrade(first);
     await pause(3 * reportMs);
-    ids.push(...(await submitMany(cluster, 200, 3, 30)));
-    await cluster.upgrade(others[1] ?? '');
+    ids.push(...(await submitSmall(cluster, 200, 3, 100)));
+    await cluster.upgrade(third);
     await upgradedEverywhere(cluster);
-    await cluster.submitSurely(submission('req-000300', 4, { moorings: ['req-000200'] }));
+    await cluster.submitSurely(submission(idOf(300), 4, { moorings: [idOf(200)] }));
+    await cluster.until('what was large has been split', () => largestValue(cluster) <= nextBytes);
     cluster.lowerLimits();
-    await cluster.allDone([...ids.filter((id) => id !== 'req-000003'), 'req-000300'], 40_000);
-    assert.ok(largestValue(cluster) <= nextLimits.value_kb * 1024, `${largestValue(cluster)} bytes`);
+    ids.push(...(await submitSmall(cluster, 400, 3, 200)));
+    await cluster.allDone([...ids.filter((id) => id !== idOf(3)), idOf(300)], 40_000);
+    assert.equal(cluster.store.sizeRefusals, 0);
   },
 );
 
@@ -83,11 +91,8 @@
   'all end together and come back new, and the limits fall as they do',
   { port: 29_040, taskMs: 5000, capacity: 10, earlier, nextLimits },
   async (cluster) => {
-    const ids = await submitSmall(cluster, 6, 200);
-    await cluster.until(
-      'a value is larger than what is to come',
-      () => largestValue(cluster) > nextLimits.value_kb * 1024,
-    );
+    const ids = await submitSmall(cluster, 1, 6, 200);
+    await cluster.until('a value is larger than what is to come', () => largestValue(cluster) > nextBytes);
     await Promise.all(labels.map((label) => cluster.upgrade(label)));
     await cluster.until('the first has announced its format', () =>
       labels.some((label) => cluster.store.value(`formats/${label}`) !== undefined),
@@ -97,7 +102,7 @@
     await cluster.submitSurely(submission('req-000100', 4, { moorings: [ids[0], ids[1]] }));
     for (const label of labels) await cluster.restart(label, 50);
     await cluster.allDone([...ids, 'req-000100'], 60_000);
-    assert.ok(largestValue(cluster) <= nextLimits.value_kb * 1024, `${largestValue(cluster)} bytes`);
+    assert.ok(largestValue(cluster) <= nextBytes, `${largestValue(cluster)} bytes`);
   },
 );
 
@@ -106,7 +111,7 @@
   'the state service refuses an old leader as a new one takes over, and a cancel falls in',
   { port: 29_080, taskMs: 8000, capacity: 10, earlier, nextLimits },
   async (cluster) => {
-    const ids = await submitSmall(cluster, 4, 20);
+    const ids = await submitSmall(cluster, 1, 4, 20);
     await cluster.until('all run', () => ids.every((id) => cluster.runningOf(id).length > 0));
     const first = await cluster.leading();
     const [second = '', third = ''] = labels.filter((label) => label !== first);
