--- a/src/fault-scenarios/chains.test.ts
+++ b/src/fault-scenarios/chains.test.ts
@@ -54,15 +54,16 @@
 
 // Guards against ends that no controller knows after its start: the copy of the store begins without any.
 scenario(
-  'a dependency was done before all controllers restarted, and its dependent is submitted afterwards',
-  { port: 28_040, taskMs: 300 },
+  'a dependency was done before all controllers restarted, and another is done after that',
+  { port: 28_040, taskMs: (piece) => (piece.startsWith(idOf(2)) ? 2500 : 300) },
   async (cluster) => {
-    const [first = ''] = await submitChain(cluster, 1, 1);
-    await cluster.submitSurely(submission(idOf(2), 4, { owner: 'red' }));
-    await cluster.allDone([first]);
+    await cluster.submitSurely(submission(idOf(1), 1));
+    await cluster.submitSurely(submission(idOf(2), 4, { owner: 'blue' }));
+    await cluster.allDone([idOf(1)]);
+    await cluster.submitSurely(submission(idOf(3), 2, { moorings: [idOf(1), idOf(2)] }));
     await Promise.all(labels.map((label) => cluster.restart(label, 50)));
-    await cluster.submitSurely(submission(idOf(3), 2, { moorings: [first, idOf(2)] }));
-    await cluster.allDone([idOf(2), idOf(3)]);
+    await cluster.submitSurely(submission(idOf(4), 2, { moorings: [idOf(1)] }));
+    await cluster.allDone([idOf(2), idOf(3), idOf(4)]);
   },
 );
 
--- a/src/store/store.test.ts
+++ b/src/store/store.test.ts
@@ -177,6 +177,19 @@
   assert.equal(after({ refused: true, waited: false }, 9, 82_000), 1);
 });
 
+// Guards against a controller that goes on asking for the present rates once lower ones hold, and is refused for ever.
+test('refusals cut an even share down to what coming limits leave of it, and it comes back slowly', () => {
+  const adaptiveShare = new AdaptiveShare(0, 0.7);
+  for (let i = 0; i < 3; i++) adaptiveShare.note({ refused: true, waited: false }, i * 100);
+  assert.equal(adaptiveShare.factor.toFixed(3), '0.729');
+  for (let i = 0; i < 9; i++) adaptiveShare.note({ refused: true, waited: true }, 1000 + i * 100);
+  assert.equal(adaptiveShare.factor, 0.7);
+  for (let i = 0; i < 10; i++) adaptiveShare.note({ refused: false, waited: true }, 3000 + i * 1000);
+  assert.ok(adaptiveShare.factor > 0.75 && adaptiveShare.factor < 0.85);
+  for (let i = 0; i < 60; i++) adaptiveShare.note({ refused: false, waited: false }, 20_000 + i * 1000);
+  assert.equal(adaptiveShare.factor, 1);
+});
+
 // Guards against a block that stands still: the service called transactions malformed that named the block four times.
 test('a condition that several operations share is sent once', async () => {
   const sent: string[][] = [];
