--- a/src/base/direct-connections.test.ts
+++ b/src/base/direct-connections.test.ts
@@ -3,8 +3,9 @@
 import { test } from 'node:test';
 import { encode } from '../wire/codec.js';
 import { steadyClock } from './clock.js';
+import { ConnectionLoad } from './connection-load.js';
 import { silentLog } from './log.js';
-import { type LeanRoute, send } from './replies.js';
+import { type LeanRoute, type Reply, send } from './replies.js';
 import { type RequestHandler, serveWeb } from './web.js';
 
 const port = 26_100;
@@ -21,8 +22,8 @@
   return Buffer.concat([Buffer.from(head), body]);
 }
 
-async function client(): Promise<Client> {
-  const socket = connect(port, '127.0.0.1');
+async function client(at = port): Promise<Client> {
+  const socket = connect(at, '127.0.0.1');
   let text = '';
   let ended = false;
   socket.on('data', (bytes) => (text += bytes.toString('latin1')));
@@ -66,7 +67,7 @@
   const loadHandler = (): Promise<RequestHandler> => Promise.resolve(users);
   const listen = { lean: [hello, health], loadHandler, log: silentLog, host: '127.0.0.1', port };
   const served = serveWeb(
-    { ...listen, clock: steadyClock, maxConnections: 20, idleMs: 5000, sliceMs: 50 },
+    { ...listen, clock: steadyClock, load: new ConnectionLoad(20), idleMs: 5000, sliceMs: 50 },
     stop.signal,
   );
   await new Promise((resolve) => setTimeout(resolve, 100));
@@ -121,3 +122,33 @@
   await served;
   for (const { socket } of [worker, closing, large, pipelining]) socket.destroy();
 });
+
+// Guards against machines called silent where one controller serves more of them than it may have connections.
+test('where connections are scarce, reports give theirs up, and health checks keep them', async () => {
+  const stop = new AbortController();
+  const answerAtOnce = (_body: unknown, answer: (reply: Reply) => void): void => answer({ status: 200 });
+  const hello: LeanRoute = { method: 'POST', path: '/hello', queued: true, handle: answerAtOnce };
+  const health: LeanRoute = { method: 'POST', path: '/up', handle: answerAtOnce };
+  const load = new ConnectionLoad(10);
+  const listen = { host: '127.0.0.1', port: port + 1, lean: [hello, health], log: silentLog, load };
+  const loadHandler = (): Promise<RequestHandler> => Promise.reject(new Error('not asked for'));
+  const served = serveWeb(
+    { ...listen, loadHandler, clock: steadyClock, idleMs: 5000, sliceMs: 50 },
+    stop.signal,
+  );
+  const clients = await Promise.all(Array.from({ length: 8 }, () => client(port + 1)));
+  for (const one of clients) one.say(request('/up', encode({})));
+  const checked = await Promise.all(clients.map((one) => one.heard(1)));
+  for (const text of checked) assert.doesNotMatch(text, /connection: close/i);
+  const [first, second] = clients;
+  assert.ok(first && second);
+  first.say(request('/hello', encode({})));
+  assert.match(await first.heard(2), /connection: close/i);
+  while (load.open > 7) await new Promise((resolve) => setTimeout(resolve, 10));
+  // With the first one gone, seven are no more than there may be.
+  second.say(request('/hello', encode({})));
+  assert.doesNotMatch(await second.heard(2), /connection: close/i);
+  for (const { socket } of clients) socket.destroy();
+  stop.abort();
+  await served;
+});
--- a/src/base/direct-connections.ts
+++ b/src/base/direct-connections.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import { encode } from '../wire/codec.js';
 import type { Clock } from './clock.js';
+import type { ConnectionLoad } from './connection-load.js';
 import type { Log } from './log.js';
 import { TurnQueue } from './turn-queue.js';
 import { type LeanRoute, type Reply, bodyLimit, handleLean, replyHeaders } from './replies.js';
@@ -50,6 +51,7 @@
   sliceMs: number;
   /** A connection that says nothing for so long is closed. */
   idleMs: number;
+  load: ConnectionLoad;
   /** The ordinary server's way of taking a connection. */
   delegate: (socket: Socket) => void;
 }
@@ -67,7 +69,7 @@
 
   /** Takes a new connection, and hands it to the ordinary server with the first request that is not for this path. */
   take(socket: Socket): void {
-    this.sockets.add(socket);
+    this.add(socket);
     let answering = false;
     const onData = (bytes: Buffer): void => {
       // Nobody pipelines here: who speaks before the answer has broken the protocol.
@@ -79,8 +81,9 @@
       const answer = (reply: Reply): void => {
         if (!answering || socket.destroyed) return;
         answering = false;
-        socket.write(responseText(reply), 'latin1');
-        if (reply.close === true) socket.end();
+        const isGivenUp = reply.close === true || (route.queued === true && this.options.load.isCrowded);
+        socket.write(responseText(isGivenUp ? { ...reply, close: true } : reply), 'latin1');
+        if (isGivenUp) socket.end();
       };
       const run = (): void => handleLean(route, request.body, answer, this.options.log);
       if (route.queued === true) this.queue.add({ isWanted: () => !socket.destroyed, run });
@@ -89,12 +92,12 @@
     const onEnd = (): void => void socket.end();
     const onTimeout = (): void => void socket.destroy();
     const onError = (): void => undefined;
-    const onClose = (): void => void this.sockets.delete(socket);
+    const onClose = (): void => this.remove(socket);
     const handOver = (bytes: Buffer): void => {
       socket.off('data', onData).off('end', onEnd).off('timeout', onTimeout);
       socket.off('error', onError).off('close', onClose);
       socket.setTimeout(0);
-      this.sockets.delete(socket);
+      this.remove(socket);
       socket.pause();
       socket.unshift(bytes);
       this.options.delegate(socket);
@@ -105,6 +108,16 @@
     socket.setTimeout(this.options.idleMs);
   }
 
+  private add(socket: Socket): void {
+    this.sockets.add(socket);
+    this.options.load.open = this.sockets.size;
+  }
+
+  private remove(socket: Socket): void {
+    this.sockets.delete(socket);
+    this.options.load.open = this.sockets.size;
+  }
+
   closeAll(): void {
     for (const socket of this.sockets) socket.destroy();
   }
--- /dev/null
+++ b/src/base/recent-names.test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { RecentNames } from './recent-names.js';
+
+// Guards against machines that are forgotten to be gone because many others are: the list names them a little longer.
+test('names are remembered for their time, however many there are, and not for longer', () => {
+  let now = 0;
+  const names = new RecentNames(() => now, 1000);
+  for (let i = 0; i < 10_000; i++) names.add(`vm-${i}`);
+  assert.equal(names.has('vm-0'), true);
+  now = 600;
+  names.add('vm-later');
+  names.add('vm-0');
+  assert.deepEqual(names.since(600), ['vm-later']);
+  now = 1001;
+  names.add('vm-last');
+  assert.deepEqual([names.has('vm-0'), names.has('vm-later'), names.has('vm-last')], [false, true, true]);
+});
--- a/src/base/web.ts
+++ b/src/base/web.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { DirectConnections } from './direct-connections.js';
 import type { Clock } from './clock.js';
+import type { ConnectionLoad } from './connection-load.js';
 import type { Log } from './log.js';
 import {
   type LeanRoute,
@@ -41,7 +42,7 @@
   host: string;
   port: number;
   clock: Clock;
-  maxConnections: number;
+  load: ConnectionLoad;
   idleMs: number;
   /** How long one turn of the event loop may serve queued requests. */
   sliceMs: number;
@@ -71,7 +72,7 @@
   const direct = new DirectConnections({ ...options, routes: options.lean, delegate });
   server.removeAllListeners('connection');
   server.on('connection', (socket: Socket) => direct.take(socket));
-  server.maxConnections = options.maxConnections;
+  server.maxConnections = options.load.most;
   // Users poll every few seconds: closing a connection between two polls would cost them a failed request.
   server.keepAliveTimeout = options.idleMs;
   server.headersTimeout = options.idleMs;
--- a/src/blocks/leasing.ts
+++ b/src/blocks/leasing.ts
@@ -19,7 +19,7 @@
   settled: ReadonlySet<string>;
   /** Rented machines that belong to no block yet. */
   fresh: LeasedMachine[];
-  gone: ReadonlySet<string>;
+  gone: { has: (machine: string) => boolean };
   /** Machines with tasks, as of the blocks' present versions: these cannot be dropped. */
   busy: { has: (machine: string) => boolean };
   /** Machines that are to be given back. */
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -18,7 +18,7 @@
   { kind: 'rented'; machines: string[] } | { kind: 'no-capacity' } | { kind: 'busy' } | { kind: 'unknown' };
 
 const callTimeoutMs = 6000;
-const listPage = 500;
+export const listLimit = 500;
 export const releaseLimit = 100;
 export const rentalLimit = 50;
 
@@ -50,7 +50,7 @@
     const machines: CloudMachine[] = [];
     let after = '';
     for (;;) {
-      const answer = await this.call('GET', machineListPath(after, listPage), undefined);
+      const answer = await this.call('GET', machineListPath(after, listLimit), undefined);
       if (answer.status !== 200) throw new Error(`machine list answered ${answer.status}`);
       const page = parseMachineList(answer.body);
       machines.push(...page.machines);
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -3,6 +3,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { type Clock, sleep, steadyClock } from './base/clock.js';
+import { ConnectionLoad } from './base/connection-load.js';
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { type RequestHandler, serveWeb } from './base/web.js';
@@ -44,7 +45,9 @@
 const capacityEveryMs = 300;
 /** The protocol's usual boot takes up to so many times the type's figure. */
 const usualBootTimes = 1.5;
-const upKept = 4000;
+/** Machines that have come up are remembered for so many times those that there are, and this many at least. */
+const upTimes = 2;
+const leastUpKept = 1000;
 const typesEveryMs = 30_000;
 const typesRetryMs = 1000;
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
@@ -113,6 +116,7 @@
   private fleet: Fleet | undefined;
   /** Machines that have reported to their owner. */
   private readonly up = new Set<string>();
+  private upKept = leastUpKept;
   private capacity: BlockCapacity | undefined;
   private capacityAt = -Infinity;
   private storeLoggedAt = -Infinity;
@@ -212,7 +216,9 @@
 
   async run(): Promise<void> {
     const { settings, log, clock, signal, mirror } = this;
+    const load = new ConnectionLoad(Math.floor(settings.quota.sockets * socketShare));
     const reportHandler = new ReportHandler({
+      isCrowded: () => load.isCrowded,
       ...{ clock, label: settings.label, leases: this.leases, registry: this.registry },
       leader: () => this.election.leader,
       mayStart: () => this.mayStart(),
@@ -228,7 +234,7 @@
     const listen = {
       ...splitAddress(settings.serveOn),
       ...{ lean, loadHandler, log, clock },
-      maxConnections: Math.floor(settings.quota.sockets * socketShare),
+      load,
       idleMs: settings.leaseMs * idleLeases,
       sliceMs: settings.reportMs * sliceReports,
     };
@@ -311,8 +317,9 @@
 
   private noteUp(machines: Iterable<string>): void {
     for (const id of machines) this.up.add(id);
-    if (this.up.size <= upKept) return;
+    if (this.up.size <= this.upKept) return;
     const leased = this.registry.machines();
+    this.upKept = Math.max(leastUpKept, leased.size * upTimes);
     for (const id of this.up) if (!leased.has(id)) this.up.delete(id);
   }
 
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -3,7 +3,8 @@
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
 import { nextTurn } from '../base/turns.js';
-import { type CloudClient, releaseLimit, rentalLimit } from '../cloud/client.js';
+import { RecentNames } from '../base/recent-names.js';
+import { type CloudClient, listLimit, releaseLimit, rentalLimit } from '../cloud/client.js';
 import type { Term } from '../leadership/term.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
 import type { JobIndex } from '../placement/job-index.js';
@@ -48,14 +49,18 @@
 const leastTickMs = 1000;
 /** A machine that is given back earlier is charged for this long all the same. */
 const minimumChargeMs = 60_000;
-const gonesKept = 2000;
+/** Machines that are gone are remembered for so many times the list's lag, and for so long at least. */
+const goneLags = 20;
+const leastGoneMs = 60_000;
+/** The part of the calls to the cloud that lists of all machines may take. */
+const listShare = 0.4;
 
 /** The leader's renting and giving back, by the ladder of each pool. */
 export class Fleet {
   /** Rented or found in the list, and in no block yet. */
   readonly fresh = new Map<string, LeasedMachine>();
   /** Known to be gone; the list and the blocks may still name them for a while. */
-  readonly gone = new Set<string>();
+  readonly gone: RecentNames;
   /** On their way out: nothing more is to be placed on them. */
   readonly unwanted = new Set<string>();
   /** No longer listed: most likely taken by the cloud, which a release will prove. */
@@ -78,6 +83,8 @@
     this.failureObserver = new FailureObserver(ports.settings.reportMs);
     this.tickMs = Math.max(leastTickMs, ports.settings.reportMs / looksPerReport);
     this.tunedAt = ports.clock();
+    const { listLagMs } = ports.settings.cloud;
+    this.gone = new RecentNames(ports.clock, Math.max(leastGoneMs, listLagMs * goneLags));
     this.listing = new Listing(ports.settings.cloud.listLagMs);
     this.refusals = new Refusals(ports.settings.cloud.listLagMs * 2);
   }
@@ -101,18 +108,17 @@
       this.gone.add(id);
       for (const ids of [this.unwanted, this.lost, this.fresh]) ids.delete(id);
     }
-    while (this.gone.size > gonesKept) {
-      const oldest = this.gone.values().next();
-      if (oldest.done) return;
-      this.gone.delete(oldest.value);
-    }
   }
 
   private async followList(): Promise<void> {
     const { cloud, settings, term } = this.ports;
     while (!term.signal.aborted) {
-      this.applyList(await cloud.listMachines());
-      await sleep(Math.max(this.tickMs * 2, settings.cloud.listLagMs / 2), term.signal);
+      const machines = await cloud.listMachines();
+      this.applyList(machines);
+      const { rps, listLagMs } = settings.cloud;
+      const pages = Math.ceil((machines.length + 1) / listLimit);
+      const pacedMs = (pages * 1000) / (rps * listShare);
+      await sleep(Math.max(this.tickMs * 2, listLagMs / 2, pacedMs), term.signal);
     }
   }
 
@@ -146,7 +152,7 @@
 
   private machines(): Map<string, LeasedMachine> {
     const machines = new Map([...this.ports.leased(), ...this.fresh]);
-    for (const id of this.gone) machines.delete(id);
+    for (const id of machines.keys()) if (this.gone.has(id)) machines.delete(id);
     return machines;
   }
 
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../base/clock.js';
+import { RecentNames } from '../base/recent-names.js';
 import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 import type { Entry, Mirror } from '../store/mirror.js';
@@ -44,7 +45,8 @@
 const faultyAfterJobs = 2;
 /** The order of work is looked at again after this part of a report interval: it changes with time alone. */
 const sortedReports = 0.25;
-const gonesKept = 2000;
+/** Machines that are gone are remembered for so many report intervals: the leader takes them out of the record meanwhile. */
+const goneReports = 60;
 
 /** All that a block's owner knows of its jobs and machines, rebuilt from the store when the lease begins. */
 export class BlockState {
@@ -52,7 +54,7 @@
   readonly jobs = new Map<string, JobState>();
   readonly machines = new Map<string, MachineState>();
   /** Proven gone, however long the block's record or a late report still speaks of them. */
-  private readonly gone = new Map<string, number>();
+  private readonly gone: RecentNames;
   /** Machines with tasks that they should not have: their teams are charged for them all the same. */
   private readonly withStrays = new Set<MachineState>();
   private readonly completed = new Set<JobState>();
@@ -67,6 +69,7 @@
   constructor(private readonly options: BlockStateOptions) {
     this.order = options.order ?? new OrderOfWork([]);
     this.layout = options.layout;
+    this.gone = new RecentNames(options.clock, options.reportMs * goneReports);
     this.ledger = new Ledger(options.layout.pageBytes);
   }
 
@@ -176,7 +179,7 @@
 
   /** What was proven gone since then, for the leader. */
   goneSince(time: number): string[] {
-    return [...this.gone].filter(([, at]) => at >= time).map(([id]) => id);
+    return this.gone.since(time);
   }
 
   /** What was first heard of since then, for all who dispatch tasks to blocks. */
@@ -212,11 +215,7 @@
 
   /** Proven by the cloud: the machine and everything on it are gone. */
   remove(id: string): Task[] {
-    this.gone.set(id, this.options.clock());
-    if (this.gone.size > gonesKept) {
-      const oldest = this.gone.keys().next();
-      if (!oldest.done) this.gone.delete(oldest.value);
-    }
+    this.gone.add(id);
     const lost = [...(this.machines.get(id)?.tasks.values() ?? [])];
     for (const task of lost) this.takeOff(task);
     this.forget(id);
--- a/src/workers/report-handler.ts
+++ b/src/workers/report-handler.ts
@@ -31,6 +31,8 @@
   mayStart: () => boolean;
   /** Workers may be answered: we know, or our peers do, whom users were told is cancelled. */
   mayAnswer: () => boolean;
+  /** Connections are scarce: no answer is held, since it would keep its connection. */
+  isCrowded: () => boolean;
   reportMs: number;
   /** How long an answer may wait for the commit of what it is to start. */
   settleMs: number;
@@ -97,10 +99,10 @@
    * worker with tasks has news of its own soon, so its answer is held for less.
    */
   private holdOrAnswer(pending: PendingReport, scheduler: Scheduler): void {
-    const { reportMs, mayStart } = this.ports;
+    const { reportMs, mayStart, isCrowded } = this.ports;
     const { machine, orders } = pending;
     const quiet = orders.every((order) => order.kind === 'forget') && this.newOrders(pending).length === 0;
-    if (!quiet || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(pending);
+    if (!quiet || isCrowded() || !mayStart() || !scheduler.hasRoom(machine)) return this.finish(pending);
     const share = machine.tasks.size === 0 ? holdShares.empty : holdShares.busy;
     this.longPolls.add(machine, reportMs * share, () => this.finish(pending));
   }
