--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -3,9 +3,7 @@
 import type { Log } from '../base/log.js';
 import { runRoutine } from '../base/routine.js';
 import type { CloudClient } from '../cloud/client.js';
-import { changesPerEnd } from '../dependencies/cascade.js';
-import { releasesOf } from '../dependencies/release.js';
-import type { JobSpec, MachineType } from '../model/types.js';
+import type { MachineType } from '../model/types.js';
 import { BlockState } from '../placement/block-state.js';
 import type { JobIndex } from '../placement/job-index.js';
 import type { OrderOfWork } from '../placement/order.js';
@@ -16,7 +14,7 @@
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
 import { type LedgerLayout, ledgerLayout } from '../placement/ledger-layout.js';
-import type { BlockRecord, Part } from '../wire/records.js';
+import type { BlockRecord } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { HealthMonitor } from '../workers/health-monitor.js';
 import type { MachineState } from '../workers/machine-state.js';
@@ -42,8 +40,6 @@
   onUnheard: () => void;
   order: OrderOfWork;
   boot: string;
-  /** The block that has room for a job which is ready, or about to be. */
-  place: (spec: JobSpec) => Part[];
   signal: AbortSignal;
   types: () => ReadonlyMap<string, MachineType>;
 }
@@ -155,13 +151,7 @@
       chainOf: (spec) => jobIndex.chainOf(spec),
     });
     blockState.load(mirror);
-    const mostReleases = settings.state.txnOps - changesPerEnd;
-    const scheduler = new Scheduler({
-      ...ports,
-      blockState,
-      signal: stop.signal,
-      releases: (id) => releasesOf(id, jobIndex, ports.place, mostReleases),
-    });
+    const scheduler = new Scheduler({ ...ports, blockState, signal: stop.signal });
     const healthMonitor = new HealthMonitor({
       ...ports,
       blockState,
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -159,7 +159,7 @@
     this.parts = shared;
     // Only others can keep the workers' tasks then: they are leased our blocks as soon as our grant is gone.
     const onUnheard = (): void => this.membership.stepAside(settings.cancelMs);
-    this.leases = new BlockLeases({ ...shared, signal, onUnheard, place: (spec) => this.place(spec) });
+    this.leases = new BlockLeases({ ...shared, signal, onUnheard });
     this.membership = new Membership(shared);
     const generator = xoroshiro128plus(Number.parseInt(boot.slice(0, 8), 16));
     this.election = new Election({
@@ -281,14 +281,10 @@
     }
   }
 
-  /** The block that a new job belongs to; a job that waits for others belongs to none yet. */
-  private home(spec: JobSpec): Part[] {
-    return this.jobIndex.isReadyWith(spec.dependencies ?? []) ? this.place(spec) : [];
-  }
-
   /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch. */
-  private place(spec: JobSpec): Part[] {
+  private home(spec: JobSpec): Part[] {
     const { registry, jobIndex, types, election } = this;
+    if (!jobIndex.isReadyWith(spec.dependencies ?? [])) return [];
     const alive = (label: string): boolean => registry.isAlive(label);
     // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
     if (!this.capacity || this.clock() - this.capacityAt > capacityEveryMs) {
--- a/src/dependencies/dependency-graph.test.ts
+++ b/src/dependencies/dependency-graph.test.ts
@@ -26,8 +26,6 @@
     diamond(graph);
     assert.deepEqual(graph.noteEnd('first', done), ['left', 'right']);
     assert.deepEqual(graph.noteEnd('right', done), []);
-    assert.deepEqual(graph.readyAfter('left'), ['last']);
-    assert.deepEqual(graph.readyAfter('last'), []);
     assert.equal(graph.stateOf('last', everythingOpen), 'waiting');
     assert.deepEqual(graph.noteEnd('left', done), ['last']);
     assert.equal(graph.stateOf('last', everythingOpen), 'ready');
--- a/src/dependencies/dependency-graph.ts
+++ b/src/dependencies/dependency-graph.ts
@@ -81,13 +81,6 @@
     return [...dependents].filter((dependent) => this.isReady(dependent));
   }
 
-  /** Jobs that will be ready once this one is done. */
-  readyAfter(id: string): string[] {
-    const waitsForNoOther = (dependent: string): boolean =>
-      (this.open.get(dependent)?.dependencies ?? []).every((other) => other === id || this.isDone(other));
-    return [...(this.dependents.get(id) ?? [])].filter(waitsForNoOther);
-  }
-
   /** True also for jobs without dependencies. */
   isReady(id: string): boolean {
     return (this.open.get(id)?.dependencies ?? []).every((dependency) => this.isDone(dependency));
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,5 +1,4 @@
 import type { Clock } from '../base/clock.js';
-import type { Release } from '../dependencies/release.js';
 import { onAbort } from '../base/aborts.js';
 import { sleep, timer } from '../base/clock.js';
 import type { Log } from '../base/log.js';
@@ -8,7 +7,6 @@
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import type { Mirror } from '../store/mirror.js';
 import { blockKey, endKey, endRecord, jobKey, ledgerKey, ledgerPage } from '../wire/records.js';
 import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../workers/machine-state.js';
@@ -29,9 +27,6 @@
   /** Ends with the lease of the block. */
   signal: AbortSignal;
   jobIndex: JobIndex;
-  mirror: Pick<Mirror, 'learn' | 'learnEnd'>;
-  /** Records of jobs that wait for nothing but the end of this one. */
-  releases: (id: string) => Release[];
   types: () => ReadonlyMap<string, MachineType>;
 }
 
@@ -352,42 +347,27 @@
    * Not conditioned on the block: that all tasks are done stays true whoever has it, and its record changes so often that
    * ends which wait for their turn would be turned down again and again.
    */
-  private async commitDone(job: JobState, releases = true): Promise<void> {
+  private async commitDone(job: JobState): Promise<void> {
     const { commits, blockState, settings, signal } = this.ports;
     job.ending = true;
     this.ending++;
-    const released = releases ? this.ports.releases(job.id) : [];
     const tasks = job.spec?.tasks ?? job.doneCount;
-    const end = { key: endKey(job.id), value: endRecord({ end: 'done', tasks, at: this.ports.wallClock() }) };
+    const end = endRecord({ end: 'done', tasks, at: this.ports.wallClock() });
     const outcome = await commits.commit(
       [
-        { key: end.key, version: 0 },
+        { key: endKey(job.id), version: 0 },
         { key: jobKey(job.id), version: job.version },
-        ...released.map(({ condition }) => condition),
       ],
-      [{ put: end.key, value: end.value }, { drop: jobKey(job.id) }, ...released.map(({ write }) => write)],
+      [{ put: endKey(job.id), value: end }, { drop: jobKey(job.id) }],
     );
+    if (outcome.kind === 'applied') blockState.endJob(job, 'done');
     this.ending--;
-    if (outcome.kind === 'applied') {
-      blockState.endJob(job, 'done');
-      this.learn(end, released, outcome.revision);
-    } else if (released.length > 0 && outcome.kind === 'conflict') {
-      // The leader, or a cancel, was quicker with one of them: the end itself may be as right as before.
-      return this.commitDone(job, false);
-    } else await sleep(settings.reportMs / 4, signal);
     // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
+    if (outcome.kind !== 'applied') await sleep(settings.reportMs / 4, signal);
     job.ending = false;
     this.poke();
   }
 
-  /** Jobs that this end has made ready start here without waiting for the watch. */
-  private learn(end: { key: string; value: unknown }, released: Release[], version: number): void {
-    if (released.length === 0) return;
-    const { mirror } = this.ports;
-    mirror.learnEnd(end.key, { value: end.value, version });
-    for (const { write } of released) mirror.learn(write.put, { value: write.value, version });
-  }
-
   private checkBlock(outcome: CommitOutcome, block: Condition): void {
     if (outcome.kind === 'conflict' && outcome.failed.includes(block.key))
       this.rejectedVersion = block.version;
--- a/src/testing/block-stage.ts
+++ b/src/testing/block-stage.ts
@@ -83,8 +83,6 @@
     ...{ clock: () => 0, wallClock: () => 0, log: silentLog, settings, signal: stop.signal },
     store: { failing: false, writeWaitMs: () => 0 } as unknown as StoreClient,
     ...{ commits, blockState, jobIndex: new JobIndex(() => 0) },
-    mirror: { learn: () => undefined, learnEnd: () => undefined },
-    releases: () => [],
     types: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
   const record = { spec: { ...jobSpec(jobId, tasks), team }, parts: [[0, 0, tasks]] };
