Controller composes only: homes of jobs and machines that are up are modules of their own; ladders keep to a value

Also the reading of a stored ledger apart from the state of a block. No change of behaviour but for the ladder's record: of more thresholds than a value holds it keeps those that were moved last.

--- a/src/controller.ts
+++ b/src/controller.ts
@@ -7,10 +7,11 @@
 import type { Log } from './base/log.js';
 import { runRoutine } from './base/routine.js';
 import { type RequestHandler, serveWeb } from './base/web.js';
-import { BlockCapacity } from './blocks/block-capacity.js';
 import { BlockAllocator } from './blocks/block-allocator.js';
 import { Registry } from './blocks/registry.js';
 import { BlockLeases } from './blocks/block-leases.js';
+import { JobHome } from './blocks/job-home.js';
+import { UpMachines } from './blocks/up-machines.js';
 import { CloudClient } from './cloud/client.js';
 import { Cancellations } from './intake/cancellations.js';
 import { Cascade } from './dependencies/cascade.js';
@@ -21,7 +22,7 @@
 import { Election } from './leadership/election.js';
 import { Membership } from './leadership/membership.js';
 import type { Term } from './leadership/term.js';
-import type { JobSpec, MachineType } from './model/types.js';
+import type { MachineType } from './model/types.js';
 import { PeerLinks, type PeerStatus, splitAddress } from './peers/links.js';
 import { JobIndex } from './placement/job-index.js';
 import { OrderOfWork } from './placement/order.js';
@@ -30,24 +31,10 @@
 import { type Lane, StoreClient } from './store/client.js';
 import { CommitStage } from './store/commit-stage.js';
 import { Mirror } from './store/mirror.js';
-import {
-  type LeasedMachine,
-  type Part,
-  endKey,
-  endRecord,
-  endedJob,
-  leadKey,
-  parseEnd,
-} from './wire/records.js';
+import { endKey, endRecord, endedJob, leadKey, parseEnd } from './wire/records.js';
 import { ReportHandler } from './workers/report-handler.js';
 
 const probeMs = 400;
-const capacityEveryMs = 300;
-/** The protocol's usual boot takes up to so many times the type's figure. */
-const usualBootTimes = 1.5;
-/** Machines that have come up are remembered for so many times those that there are, and this many at least. */
-const upTimes = 2;
-const leastUpKept = 1000;
 const typesEveryMs = 30_000;
 const typesRetryMs = 1000;
 /** Bounds of the stages, as multiples of the operations that one transaction can hold. */
@@ -114,11 +101,7 @@
   private readonly intake: Intake;
   private readonly cascade: Cascade;
   private fleet: Fleet | undefined;
-  /** Machines that have reported to their owner. */
-  private readonly up = new Set<string>();
-  private upKept = leastUpKept;
-  private capacity: BlockCapacity | undefined;
-  private capacityAt = -Infinity;
+  private readonly upMachines: UpMachines;
   private storeLoggedAt = -Infinity;
 
   constructor(
@@ -173,6 +156,15 @@
       isLeading: () => this.election.term !== undefined,
       readEnd: (id) => ends.read(id),
     });
+    this.upMachines = new UpMachines({
+      ...{ wallClock: Date.now, types, leased: () => registry.machines() },
+    });
+    const jobHome = new JobHome({
+      ...shared,
+      up: this.upMachines,
+      ownBlocks: () => new Set(this.leases.blockStates().map(({ block }) => block)),
+      leader: () => this.election.leader,
+    });
     this.intake = new Intake({
       ...shared,
       ...{ ends, cascade: this.cascade },
@@ -181,7 +173,7 @@
       writes: this.stages.intake,
       confirms: this.stages.confirm,
       isUp: () => this.isServing(),
-      home: (spec) => this.home(spec),
+      home: (spec) => jobHome.of(spec),
     });
     this.peers = new PeerLinks({
       ...{ clock, log, settings, boot },
@@ -268,7 +260,7 @@
       fleet,
       periodMs: operator.blocks.periodS * 1000,
       lookahead: operator.blocks.lookahead,
-      up: (machine) => this.isUp(machine),
+      up: (machine) => this.upMachines.has(machine),
     });
     this.fleet = fleet;
     try {
@@ -281,46 +273,8 @@
     }
   }
 
-  /** A job goes whole to the block with the most room; what is too big for any is the leader's to dispatch. */
-  private home(spec: JobSpec): Part[] {
-    const { registry, jobIndex, types, election } = this;
-    if (!jobIndex.isReadyWith(spec.dependencies ?? [])) return [];
-    const alive = (label: string): boolean => registry.isAlive(label);
-    // Measuring all machines for every submission would take too long; what is handed out meanwhile is counted.
-    if (!this.capacity || this.clock() - this.capacityAt > capacityEveryMs) {
-      this.capacity = new BlockCapacity({
-        ...{ blocks: registry.blocks(), alive, types, jobIndex, lookahead: 0 },
-        up: (machine) => this.isUp(machine),
-      });
-      this.capacityAt = this.clock();
-    }
-    // Our own block can start it without waiting for anybody's watch.
-    const ours = new Set(this.leases.blockStates().map((blockState) => blockState.block));
-    const parts = this.capacity.whole(spec, (block) => ours.has(block));
-    for (const { block, count } of parts ?? []) this.capacity.take(spec, block, count);
-    // Without a leader there is nobody to dispatch: the blocks then share it by their sizes.
-    return parts ?? (election.leader === undefined ? this.capacity.bySize(spec) : []);
-  }
-
-  /**
-   * Tasks are dispatched only to machines that can start them: while one boots, another block may have room. Up is what any
-   * owner has heard of, and what has had the longest time that booting usually takes.
-   */
-  private isUp(machine: LeasedMachine): boolean {
-    const bootS = this.types.get(machine.type)?.bootS ?? 0;
-    return this.up.has(machine.id) || Date.now() - machine.since > bootS * 1000 * usualBootTimes;
-  }
-
-  private noteUp(machines: Iterable<string>): void {
-    for (const id of machines) this.up.add(id);
-    if (this.up.size <= this.upKept) return;
-    const leased = this.registry.machines();
-    this.upKept = Math.max(leastUpKept, leased.size * upTimes);
-    for (const id of this.up) if (!leased.has(id)) this.up.delete(id);
-  }
-
   private heed(status: PeerStatus): void {
-    this.noteUp(status.up);
+    this.upMachines.note(status.up);
     this.fleet?.noteGone(status.gone);
     const { term } = this.election;
     if (term && status.token > term.token) term.end(`${status.from} leads with a higher token`);
@@ -424,7 +378,7 @@
       this.leases.follow([]);
       // What peers are told, our own leader has to hear as well.
       for (const blockState of this.leases.blockStates()) {
-        this.noteUp(blockState.upSince(this.clock() - toldMs));
+        this.upMachines.note(blockState.upSince(this.clock() - toldMs));
         this.fleet?.noteGone(blockState.goneSince(this.clock() - toldMs));
       }
       this.shareStore();
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -50,7 +50,11 @@
 // directions, with a process that comes back old before its turn.
 scenario(
   'controllers are replaced one by one while jobs run, and one that dies before its turn comes back old',
-  { port: 29_000, taskMs: 2500, capacity: 10, earlier, nextLimits },
+  // The job that is cancelled would run for longer than all of this takes.
+  {
+    ...{ port: 29_000, capacity: 10, earlier, nextLimits },
+    taskMs: (piece) => (piece.startsWith(`${idOf(3)}/`) ? 30_000 : 2500),
+  },
   async (cluster) => {
     const ids = await submitSmall(cluster, 1, 4, 150);
     await cluster.until('tasks run', () => cluster.runningOf(idOf(1)).length > 0);
--- a/src/ladder/fleet.ts
+++ b/src/ladder/fleet.ts
@@ -212,7 +212,7 @@
 
   /** Once a period, one threshold of each pool by one slot. */
   private async tune(now: number): Promise<void> {
-    const { operator, commits, term, log } = this.ports;
+    const { operator, commits, term, log, settings } = this.ports;
     if (now - this.tunedAt < operator.ladder.periodS * 1000) return;
     this.tunedAt = now;
     for (const pool of this.pools.values()) {
@@ -225,7 +225,12 @@
       // Were it lost, the next move writes it again.
       await commits.commit(
         [{ key: leadKey, version: term.token }],
-        [{ put: ladderKey(pool.key), value: ladderRecord(ladder.movedThresholds) }],
+        [
+          {
+            put: ladderKey(pool.key),
+            value: ladderRecord(ladder.movedThresholds, settings.state.valueBytes),
+          },
+        ],
       );
     }
   }
--- a/src/ladder/ladder.test.ts
+++ b/src/ladder/ladder.test.ts
@@ -3,6 +3,8 @@
 import { Ladder } from './ladder.js';
 import type { MachineType } from '../model/types.js';
 import type { LeasedMachine } from '../wire/records.js';
+import { sizeOf } from '../wire/codec.js';
+import { ladderRecord, parseLadder } from '../wire/records.js';
 import { Listing } from './listing.js';
 import { Refusals } from './refusals.js';
 import { Lack, Surplus } from './surplus.js';
@@ -123,3 +125,15 @@
   assert.deepEqual(listing.missing(2150, ['m1'], ['m1', 'm4']), []);
   assert.deepEqual(listing.missing(2201, ['m1'], ['m1', 'm4']), ['m4']);
 });
+
+// Guards against a ladder that is never written again: after a long time on a large fleet every threshold has been moved.
+test('of more thresholds than a value holds the record keeps those that were moved last', () => {
+  const ladder = new Ladder(shape);
+  for (let m = 4000; m > 1; m--) ladder.move(m, 1);
+  ladder.move(4000, 1);
+  const record = ladderRecord(ladder.movedThresholds, 2048);
+  assert.ok(sizeOf(record) <= 2048);
+  const kept = parseLadder(record);
+  assert.ok(kept.length >= 100);
+  assert.deepEqual(kept.at(-1), [4000, ladder.threshold(4000)]);
+});
--- a/src/ladder/ladder.ts
+++ b/src/ladder/ladder.ts
@@ -34,6 +34,7 @@
     for (const [m, slots] of moved) if (m > 1) this.moved.set(m, Math.min(Math.max(0, slots), this.room(m)));
   }
 
+  /** The last ones to be moved come last. */
   get movedThresholds(): [number, number][] {
     return [...this.moved];
   }
@@ -51,6 +52,7 @@
     const lowest = m === 2 ? 0 : this.threshold(m - 1);
     const highest = Math.min(this.room(m), this.threshold(m + 1));
     if (next < lowest || next > highest) return false;
+    this.moved.delete(m);
     this.moved.set(m, next);
     return true;
   }
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -2,7 +2,7 @@
 import { RecentNames } from '../base/recent-names.js';
 import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
-import type { Entry, Mirror } from '../store/mirror.js';
+import type { Mirror } from '../store/mirror.js';
 import {
   type BlockRecord,
   type LedgerEntry,
@@ -11,16 +11,14 @@
   endedJob,
   parseEnd,
   parseJobRecord,
-  ledgerPrefix,
-  parseLedgerKey,
-  parseLedgerPage,
 } from '../wire/records.js';
 import type { Change } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
 import { JobState, type JobFacts, type Task } from './job-state.js';
 import { Ledger } from './ledger.js';
-import { chunkTasksOf, withoutCovered } from './ledger-entries.js';
+import { chunkTasksOf } from './ledger-entries.js';
+import { type StoredPage, layoutFor, newestEntries, storedPages } from './stored-pages.js';
 import type { LedgerLayout } from './ledger-layout.js';
 import { type ChainFacts, OrderOfWork, type Queued, unchained } from './order.js';
 import { Usage } from './placement-round.js';
@@ -82,9 +80,7 @@
   }
 
   load(mirror: Mirror): void {
-    const pages = [...mirror.below(ledgerPrefix(this.block))].flatMap(([key, entry]) =>
-      storedPage(key, entry),
-    );
+    const pages = storedPages(mirror, this.block);
     this.layout = layoutFor(this.options.layout, pages);
     for (const [key, entry] of mirror.below('job/')) this.setJob(key, entry.value, entry.version);
     this.loadLedger(pages);
@@ -340,22 +336,8 @@
 
   /** Pages with entries of another size are retired: their tasks are recorded anew in entries of this layout. */
   private loadLedger(pages: StoredPage[]): void {
-    const byJob = new Map<string, { entry: LedgerEntry; page: StoredPage }[]>();
-    for (const page of pages) {
-      this.addPage(page);
-      for (const entry of page.entries) {
-        const ofJob = byJob.get(entry.id);
-        if (ofJob) ofJob.push({ entry, page });
-        else byJob.set(entry.id, [{ entry, page }]);
-      }
-    }
-    for (const found of byJob.values()) {
-      const pageOf = new Map(found.map(({ entry, page }) => [`${chunkTasksOf(entry)}/${entry.chunk}`, page]));
-      for (const entry of withoutCovered(found.map((one) => one.entry))) {
-        const page = pageOf.get(`${chunkTasksOf(entry)}/${entry.chunk}`);
-        if (page) this.loadEntry(entry, page);
-      }
-    }
+    for (const page of pages) this.addPage(page);
+    for (const { entry, page } of newestEntries(pages)) this.loadEntry(entry, page);
   }
 
   private addPage({ index, version, entries }: StoredPage): void {
@@ -388,26 +370,6 @@
   }
 }
 
-/** A page of the ledger as the copy of the store has it. */
-interface StoredPage {
-  index: number;
-  version: number;
-  entries: LedgerEntry[];
-}
-
-function storedPage(key: string, { value, version }: Entry): StoredPage[] {
-  const at = parseLedgerKey(key);
-  return at ? [{ index: at.page, version, entries: parseLedgerPage(value) }] : [];
-}
-
-/** Entries are never made larger: a larger one would count for less than the smaller ones that it replaces. */
-function layoutFor(layout: LedgerLayout, pages: StoredPage[]): LedgerLayout {
-  const sizes = pages.flatMap(({ entries }) => entries.map(chunkTasksOf));
-  const smallest = sizes.reduce((least, size) => Math.min(least, size), Infinity);
-  const wanted = layout.inherited ? Infinity : layout.chunkTasks;
-  return smallest < wanted ? { ...layout, chunkTasks: smallest, inherited: false } : layout;
-}
-
 function refOf(task: Task): { job: string; index: number } {
   return { job: task.job.id, index: task.index };
 }
--- /dev/null
+++ b/src/placement/stored-pages.ts
@@ -0,0 +1,56 @@
+/** A block's ledger as the copy of the store has it. */
+import type { Mirror } from '../store/mirror.js';
+import { type LedgerEntry, ledgerPrefix, parseLedgerKey, parseLedgerPage } from '../wire/records.js';
+import { chunkTasksOf, withoutCovered } from './ledger-entries.js';
+import type { LedgerLayout } from './ledger-layout.js';
+
+export interface StoredPage {
+  index: number;
+  version: number;
+  entries: LedgerEntry[];
+}
+
+export interface StoredEntry {
+  entry: LedgerEntry;
+  page: StoredPage;
+}
+
+export function storedPages(mirror: Pick<Mirror, 'below'>, block: number): StoredPage[] {
+  const pages: StoredPage[] = [];
+  for (const [key, { value, version }] of mirror.below(ledgerPrefix(block))) {
+    const at = parseLedgerKey(key);
+    if (at) pages.push({ index: at.page, version, entries: parseLedgerPage(value) });
+  }
+  return pages;
+}
+
+/** The entries of all pages without what smaller ones cover. */
+export function* newestEntries(pages: StoredPage[]): Iterable<StoredEntry> {
+  const byJob = new Map<string, StoredEntry[]>();
+  for (const page of pages) {
+    for (const entry of page.entries) {
+      const ofJob = byJob.get(entry.id);
+      if (ofJob) ofJob.push({ entry, page });
+      else byJob.set(entry.id, [{ entry, page }]);
+    }
+  }
+  for (const ofJob of byJob.values()) {
+    const pageOf = new Map(ofJob.map(({ entry, page }) => [placeOf(entry), page]));
+    for (const entry of withoutCovered(ofJob.map((one) => one.entry))) {
+      const page = pageOf.get(placeOf(entry));
+      if (page) yield { entry, page };
+    }
+  }
+}
+
+function placeOf(entry: LedgerEntry): string {
+  return `${chunkTasksOf(entry)}/${entry.chunk}`;
+}
+
+/** Entries are never made larger: a larger one would count for less than the smaller ones that it replaces. */
+export function layoutFor(layout: LedgerLayout, pages: StoredPage[]): LedgerLayout {
+  const sizes = pages.flatMap(({ entries }) => entries.map(chunkTasksOf));
+  const smallest = sizes.reduce((least, size) => Math.min(least, size), Infinity);
+  const wanted = layout.inherited ? Infinity : layout.chunkTasks;
+  return smallest < wanted ? { ...layout, chunkTasks: smallest, inherited: false } : layout;
+}
--- a/src/wire/records.ts
+++ b/src/wire/records.ts
@@ -420,9 +420,14 @@
   return size;
 }
 
-/** The thresholds of a pool that were moved from where they start: [m, slots]. */
-export function ladderRecord(moved: [number, number][]): unknown {
-  return { moved };
+/** Worst case of a threshold, and of a ladder without any, in the JSON form that limits are measured in. */
+const bytesPerThreshold = 20;
+const bytesPerLadder = 20;
+
+/** The thresholds of a pool that were moved from where they start: [m, slots]; of too many for a value the last ones. */
+export function ladderRecord(moved: [number, number][], valueBytes = Infinity): unknown {
+  const most = Math.floor((valueBytes - bytesPerLadder) / bytesPerThreshold);
+  return { moved: moved.slice(-most) };
 }
 
 export function parseLadder(value: unknown): [number, number][] {
