--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -55,8 +55,10 @@
 export class BlockLeases {
   private readonly held = new Map<number, HeldBlock>();
   private renewing = false;
-  /** Revisions that the copy must have reached before a block is begun again; infinite while its renewal is still to come. */
+  /** Revisions of renewals, which the copy must have reached before a block is begun. */
   private readonly renewedAt = new Map<number, number>();
+  /** Those of them that were for the sake of a new layout of the ledger. */
+  private readonly relaidAt = new Map<number, number>();
   private readonly writer: BlockWriter;
 
   constructor(private readonly ports: BlockLeasesPorts) {
@@ -89,18 +91,19 @@
     for (const [block, heldBlock] of this.held) {
       const record = blocks.get(block);
       if (record?.owner !== settings.label || record.boot !== boot) this.end(block, heldBlock);
-      else if (heldBlock.layout.chunkTasks !== layout.chunkTasks) this.endForNewLayout(block, heldBlock);
+      else if (this.isRelaid(block, heldBlock, layout)) this.end(block, heldBlock);
       else if (heldBlock.blockState.apply(changes)) heldBlock.scheduler.poke();
     }
     for (const [block, record] of blocks) {
       if (record.owner !== settings.label) continue;
       const version = registry.version(block);
-      const renewedAt = this.renewedAt.get(block) ?? 0;
-      if (record.boot !== boot || renewedAt === Infinity) {
-        if (!this.renewing) void this.renew(block, record);
-        continue;
-      }
-      if (version < renewedAt) continue;
+      const isOfEarlierLife = record.boot !== boot;
+      const isOutdated = this.isOutdated(this.held.get(block), layout);
+      const isDue = isOfEarlierLife || (isOutdated && !this.relaidAt.has(block));
+      if (isDue && !this.renewing) void this.renew(block, record, isOutdated);
+      // Nothing may be committed in the old layout under the version of the renewal.
+      if (isOfEarlierLife || (isOutdated && this.renewing)) continue;
+      if (version < (this.renewedAt.get(block) ?? 0)) continue;
       const heldBlock = this.held.get(block) ?? this.begin(block, layout);
       if (heldBlock.blockState.version === version) continue;
       heldBlock.blockState.applyBlock(record, version);
@@ -108,31 +111,39 @@
     }
   }
 
+  private isOutdated(heldBlock: HeldBlock | undefined, layout: LedgerLayout): boolean {
+    return heldBlock !== undefined && heldBlock.layout.chunkTasks !== layout.chunkTasks;
+  }
+
+  /**
+   * All controllers read ledgers of the new layout by now. The block goes on as it is until its lease has been renewed, with
+   * fresh tokens and a version that leaves what is still under way without its condition, and is then begun anew as after a
+   * restart.
+   */
+  private isRelaid(block: number, heldBlock: HeldBlock, layout: LedgerLayout): boolean {
+    const relaidAt = this.relaidAt.get(block) ?? Infinity;
+    return this.isOutdated(heldBlock, layout) && this.ports.registry.version(block) >= relaidAt;
+  }
+
   /**
    * A block leased to an earlier life of this process. That life knew which reports were the latest and may have left
    * transactions under way; fresh tokens and a new version of the block put both behind us.
    */
-  private async renew(block: number, record: BlockRecord): Promise<void> {
+  private async renew(block: number, record: BlockRecord, isOutdated: boolean): Promise<void> {
     const { settings, boot, log } = this.ports;
     this.renewing = true;
     const renewed = { ...record, machines: record.machines.map((m) => ({ ...m })) };
     giveTo(renewed, { label: settings.label, boot, zone: settings.zone });
     const { outcome } = await this.writer.write(block, renewed);
-    if (outcome.kind === 'applied') this.renewedAt.set(block, outcome.revision);
+    if (outcome.kind === 'applied') {
+      this.renewedAt.set(block, outcome.revision);
+      if (isOutdated) this.relaidAt.set(block, outcome.revision);
+    }
     log.info({ event: 'lease-renewed', block, outcome: outcome.kind }, 'lease of an earlier life renewed');
     // Whether it was applied, the watch tells; were it not, the next change tries again.
     this.renewing = false;
   }
 
-  /**
-   * All controllers read ledgers of the new layout by now. The block is begun anew, as after a restart: fresh tokens, and a
-   * new version that leaves what is still under way without its condition.
-   */
-  private endForNewLayout(block: number, heldBlock: HeldBlock): void {
-    this.end(block, heldBlock);
-    this.renewedAt.set(block, Infinity);
-  }
-
   private begin(block: number, layout: LedgerLayout): HeldBlock {
     const { ports } = this;
     const { settings, log, clock, wallClock, mirror, order, jobIndex } = ports;
