--- a/src/dependencies/dependency-graph.ts
+++ b/src/dependencies/dependency-graph.ts
@@ -51,7 +51,7 @@
     this.demands.clear();
     for (const dependency of dependencies) {
       this.addDependent(dependency, id);
-      const end = this.ends.get(dependency) ?? this.endOf(dependency);
+      const end = this.knownEnd(dependency);
       if (end) this.ends.set(dependency, end);
     }
     if (dependencies.some((dependency) => this.isLost(dependency))) this.doom(id);
@@ -87,10 +87,7 @@
   }
 
   areDone(dependencies: Iterable<string>): boolean {
-    return [...dependencies].every((dependency) => {
-      const end = this.ends.get(dependency) ?? this.endOf(dependency);
-      return end?.end === 'done';
-    });
+    return [...dependencies].every((dependency) => this.knownEnd(dependency)?.end === 'done');
   }
 
   /** True where a job that names these dependencies has to be cancelled. */
@@ -163,14 +160,17 @@
     demand.endBy = Math.min(demand.endBy ?? Infinity, latestEnd - estimateS * 1000);
   }
 
+  private knownEnd(id: string): EndRecord | undefined {
+    return this.ends.get(id) ?? this.endOf(id);
+  }
+
   private isDone(id: string): boolean {
     return this.ends.get(id)?.end === 'done';
   }
 
   /** Cancelled, or about to be. */
   private isLost(id: string): boolean {
-    const end = this.ends.get(id) ?? this.endOf(id);
-    return end?.end === 'cancelled' || this.doomedSince.has(id);
+    return this.knownEnd(id)?.end === 'cancelled' || this.doomedSince.has(id);
   }
 
   private doom(id: string): void {
--- a/src/intake/submissions.ts
+++ b/src/intake/submissions.ts
@@ -110,38 +110,33 @@
   }
 
   private async record(job: JobSpec): Promise<SubmissionResult> {
-    const { mirror, writes, home, jobIndex } = this.ports;
+    const { mirror, home, jobIndex } = this.ports;
     if (jobIndex.dependencies.isDoomedBy(job.dependencies ?? [])) return this.recordAsCancelled(job);
     const key = jobKey(job.id);
     const value = jobRecord({ spec: job, parts: home(job) });
-    const outcome = await writes.commit(
-      [
-        { key, version: 0 },
-        { key: endKey(job.id), version: 0 },
-      ],
-      [{ put: key, value }],
-    );
-    if (outcome.kind === 'conflict') return { kind: 'accepted-before' };
-    if (outcome.kind !== 'applied') return { kind: 'unavailable' };
-    mirror.learn(key, { value, version: outcome.revision });
-    return { kind: 'created' };
+    return this.commitAsNew(job.id, key, value, (version) => mirror.learn(key, { value, version }));
   }
 
   /** A job that needs a cancelled one is accepted all the same, and cancelled with it. */
   private async recordAsCancelled(job: JobSpec): Promise<SubmissionResult> {
-    const { mirror, writes, wallClock } = this.ports;
+    const { mirror, wallClock } = this.ports;
     const key = endKey(job.id);
     const value = endRecord({ end: 'cancelled', tasks: job.tasks, at: wallClock() });
-    const outcome = await writes.commit(
-      [
-        { key, version: 0 },
-        { key: jobKey(job.id), version: 0 },
-      ],
-      [{ put: key, value }],
-    );
+    return this.commitAsNew(job.id, key, value, (version) => mirror.learnEnd(key, { value, version }));
+  }
+
+  /** Commits the first that there is of a job: neither a record nor an end. */
+  private async commitAsNew(
+    id: string,
+    key: string,
+    value: unknown,
+    learn: (version: number) => void,
+  ): Promise<SubmissionResult> {
+    const absent = [jobKey(id), endKey(id)].map((one) => ({ key: one, version: 0 }));
+    const outcome = await this.ports.writes.commit(absent, [{ put: key, value }]);
     if (outcome.kind === 'conflict') return { kind: 'accepted-before' };
     if (outcome.kind !== 'applied') return { kind: 'unavailable' };
-    mirror.learnEnd(key, { value, version: outcome.revision });
+    learn(outcome.revision);
     return { kind: 'created' };
   }
 }
--- a/src/placement/job-index.ts
+++ b/src/placement/job-index.ts
@@ -98,9 +98,7 @@
     this.read();
     const entries = this.byJob.get(id);
     if (!entries) return [];
-    const [first, ...others] = entries;
-    const sameSize = others.every((entry) => entry.chunkTasks === first?.chunkTasks);
-    return sameSize ? entries : newestOfEachBlock(entries);
+    return areOfOneSize(entries) ? entries : newestOfEachBlock(entries);
   }
 
   *activeTasks(): Iterable<{ id: string; page: IndexedEntry; machine: string }> {
@@ -235,6 +233,16 @@
   }
 }
 
+/** Asked for each job many times in a round, so nothing is allocated. */
+function areOfOneSize(entries: ReadonlySet<IndexedEntry>): boolean {
+  let first: IndexedEntry | undefined;
+  for (const entry of entries) {
+    first ??= entry;
+    if (entry.chunkTasks !== first.chunkTasks) return false;
+  }
+  return true;
+}
+
 function newestOfEachBlock(entries: Iterable<IndexedEntry>): IndexedEntry[] {
   const byBlock = new Map<number, IndexedEntry[]>();
   for (const entry of entries) {
