--- a/src/fault-scenarios/chains.test.ts
+++ b/src/fault-scenarios/chains.test.ts
@@ -48,7 +48,7 @@
     cluster.lowerLimits();
     for (const label of labels) await cluster.restart(label, 50);
     await cluster.allDone([...chain, idOf(20), idOf(21), idOf(22)]);
-    assert.equal(cluster.store.sizeRefusals, 0);
+    assert.deepEqual(cluster.store.sizeRefusals, []);
   },
 );
 
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -1,9 +1,9 @@
 /** The version in production and this one serve side by side, on each other's data, with processes of both builds. */
 import assert from 'node:assert/strict';
 import { execFileSync } from 'node:child_process';
-import { before, test } from 'node:test';
+import { after, before, test } from 'node:test';
 import { type Cluster, labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
-import { buildProduction, productionCommit } from '../testing/production.js';
+import { type ProductionBuild, buildProduction, productionCommit } from '../testing/production.js';
 import { scenario } from '../testing/scenario.js';
 import { sizeOf } from '../wire/codec.js';
 
@@ -11,11 +11,15 @@
 const nextBytes = nextLimits.value_kb * 1024;
 const idOf = (i: number): string => `req-${String(i).padStart(6, '0')}`;
 const earlier = { program: '', labels };
+let build: ProductionBuild | undefined;
 
 before(() => {
-  earlier.program = buildProduction();
+  build = buildProduction();
+  earlier.program = build.program;
 });
 
+after(() => build?.remove());
+
 test('the deploy file names a commit of the history as the version in production', () => {
   const type = execFileSync('git', ['cat-file', '-t', productionCommit()], { encoding: 'utf8' });
   assert.equal(type.trim(), 'commit');
@@ -86,7 +90,7 @@
     cluster.lowerLimits();
     ids.push(...(await submitSmall(cluster, 400, 3, 200)));
     await cluster.allDone([...ids.filter((id) => id !== idOf(3)), idOf(300)], 40_000);
-    assert.equal(cluster.store.sizeRefusals, 0);
+    assert.deepEqual(cluster.store.sizeRefusals, []);
   },
 );
 
--- a/src/testing/production.ts
+++ b/src/testing/production.ts
@@ -1,6 +1,6 @@
 /** The version in production, built from the history of the repository. */
 import { execFileSync } from 'node:child_process';
-import { mkdirSync, mkdtempSync, readFileSync, symlinkSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, symlinkSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 
@@ -13,13 +13,22 @@
   return commit;
 }
 
-/** Builds it in a directory of its own, with the libraries of this checkout, and returns the path of the program. */
-export function buildProduction(): string {
+export interface ProductionBuild {
+  /** The path of the program. */
+  program: string;
+  remove(): void;
+}
+
+/** Builds it in a directory of its own, with the libraries of this checkout. */
+export function buildProduction(): ProductionBuild {
   const directory = mkdtempSync(join(tmpdir(), 'shalekeel-production-'));
   const archive = execFileSync('git', ['archive', productionCommit()], { maxBuffer: 2 ** 30 });
   execFileSync('tar', ['-x', '-C', directory], { input: archive });
   symlinkSync(resolve('node_modules'), join(directory, 'node_modules'));
   mkdirSync(join(directory, 'target'), { recursive: true });
   execFileSync(process.execPath, ['build.js'], { cwd: directory });
-  return join(directory, 'target', 'main.js');
+  return {
+    program: join(directory, 'target', 'main.js'),
+    remove: () => rmSync(directory, { recursive: true, force: true }),
+  };
 }
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -47,8 +47,8 @@
   keeps: ((key: string) => boolean) | undefined;
   private readonly kept: Fields[] = [];
   refusals = 0;
-  /** Transactions that were refused for their size, or for that of a value. */
-  sizeRefusals = 0;
+  /** Transactions that were refused for their size, or for that of a value, each with the keys that it wrote. */
+  readonly sizeRefusals: string[] = [];
   private readonly changes: Fields[] = [];
   private readonly leases = new Map<number, { ttlMs: number; endsAt: number }>();
   private nextLease = 1;
@@ -207,10 +207,9 @@
 
   private commit(body: Fields): [number, unknown] {
     const writes = list(body['writes']).filter(isFields);
-    if (writes.length > this.limits.txnOps) return this.refuseForSize('too many writes');
-    if (writes.some((write) => sizeOf(write['value']) > this.limits.valueBytes)) {
-      return this.refuseForSize('value too large');
-    }
+    if (writes.length > this.limits.txnOps) return this.refuseForSize('too many writes', writes);
+    const oversized = writes.filter((write) => sizeOf(write['value']) > this.limits.valueBytes);
+    if (oversized.length > 0) return this.refuseForSize('value too large', oversized);
     if (writes.length > 0 && !this.admit('writes', writes.length, this.limits.writeRps)) return [429, {}];
     const failed = list(body['when'])
       .filter(isFields)
@@ -228,8 +227,9 @@
     return [200, { logline: this.revision }];
   }
 
-  private refuseForSize(error: string): [number, unknown] {
-    this.sizeRefusals++;
+  private refuseForSize(error: string, writes: Fields[]): [number, unknown] {
+    const keys = writes.map((write) => text(write['set'] ?? write['drop']));
+    this.sizeRefusals.push(`${error}: ${keys.join(' ')}`);
     return [400, { error }];
   }
 
