Tests: 4000 machines with the stand-ins, layout awaited before limits fall, longer tasks

The scenario now waits until every block's owner has logged the new layout (lease-begins names the tasks of an entry), which is what it meant to wait for; its assertion is unchanged.

Tasks run for 8 s.

--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -173,7 +173,8 @@
     this.held.set(block, heldBlock);
     void runRoutine(`scheduler-${block}`, signal, log, () => scheduler.run());
     void runRoutine(`health-monitor-${block}`, signal, log, () => healthMonitor.run());
-    log.info({ event: 'lease-begins', block, jobs: blockState.jobs.size }, 'block is ours');
+    const { chunkTasks } = layout;
+    log.info({ event: 'lease-begins', block, jobs: blockState.jobs.size, chunkTasks }, 'block is ours');
     return heldBlock;
   }
 
--- /dev/null
+++ b/src/fault-scenarios/large-fleet.test.ts
@@ -0,0 +1,78 @@
+/** Three controllers with 4000 machines: nothing that the service does may depend on there being fewer. */
+import assert from 'node:assert/strict';
+import { type Cluster, labels, submission } from '../testing/cluster.js';
+import { scenario } from '../testing/scenario.js';
+
+const machines = 4000;
+const tasksPerJob = 200;
+/** Long enough for one process to send and to answer the reports of all machines. */
+const times = { report_s: 6, lease_s: 40, cancel_s: 50 };
+const cancelMs = times.cancel_s * 1000;
+const rampUpMs = 90_000;
+/** Tasks that may be started again after all that happens to their controllers, as a share of all. */
+const lostWork = 0.05;
+const idOf = (i: number): string => `req-${String(i).padStart(6, '0')}`;
+
+/** Jobs that take a machine for each of their tasks. */
+async function submitForAll(cluster: Cluster): Promise<string[]> {
+  const ids = Array.from({ length: machines / tasksPerJob }, (_, i) => idOf(i + 1));
+  for (const [i, id] of ids.entries()) {
+    await cluster.submitSurely(submission(id, tasksPerJob, { owner: 'blue', cpus: 8 }), i);
+  }
+  return ids;
+}
+
+function busyMachines(cluster: Cluster): number {
+  return [...cluster.workers.values()].filter(({ tasks }) => tasks.size > 0).length;
+}
+
+function ownersOf(cluster: Cluster): Set<string> {
+  return new Set(labels.map((_, block) => cluster.block(block).owner));
+}
+
+/** A job of which tasks run on machines that the controller does not own. */
+function jobOfOthers(cluster: Cluster, ids: string[], label: string): string {
+  const others = labels.map((_, block) => cluster.block(block)).filter(({ owner }) => owner !== label);
+  const running = others
+    .flatMap((block) => block.machines)
+    .flatMap(({ id }) => cluster.workers.get(id)?.running ?? []);
+  const found = ids.find((id) => running.some((task) => task.startsWith(`${id}/`)));
+  assert.ok(found, 'tasks run on the machines of the others');
+  return found;
+}
+
+function restartsOf(cluster: Cluster): number {
+  const started = cluster.history.happenings.flatMap((one) => (one.kind === 'started' ? [one.task] : []));
+  return started.length - new Set(started).size;
+}
+
+// Guards against limits that only a large fleet meets: block records and leases larger than a value, machines forgotten or
+// called silent because one controller has too many to serve, tasks lost or started twice as their blocks change hands.
+scenario(
+  'one controller is left with 4000 machines as a job is cancelled, and all restart',
+  { port: 30_000, taskMs: 25_000, capacity: machines / 2, times },
+  async (cluster) => {
+    const ids = await submitForAll(cluster);
+    await cluster.until('nearly all machines work', () => busyMachines(cluster) >= 0.9 * machines, rampUpMs);
+    const leader = await cluster.leading();
+    const [alone = '', other = ''] = labels.filter((label) => label !== leader);
+    const cancelled = jobOfOthers(cluster, ids, alone);
+    cluster.stopController(leader);
+    cluster.stopController(other);
+    assert.equal(await cluster.cancelSurely(cancelled, [labels.indexOf(alone)]), 'cancelled');
+    await cluster.until('it has all blocks', () => ownersOf(cluster).size === 1, cancelMs);
+    await cluster.until(
+      'nothing of the job is left',
+      () => cluster.runningOf(cancelled).length === 0,
+      cancelMs,
+    );
+    cluster.stopController(alone);
+    for (const label of labels) cluster.startController(label);
+    await cluster.allDone(
+      ids.filter((id) => id !== cancelled),
+      2 * cancelMs,
+    );
+    assert.deepEqual(cluster.store.sizeRefusals, []);
+    assert.ok(restartsOf(cluster) < machines * lostWork, `${restartsOf(cluster)} tasks were started again`);
+  },
+);
--- a/src/fault-scenarios/messages.test.ts
+++ b/src/fault-scenarios/messages.test.ts
@@ -74,7 +74,8 @@
 // Guards against an old page of the ledger over a newer one: its owner's next life would start again what runs.
 scenario(
   'a page of the ledger without an answer is carried out after newer ones, and its owner begins a new life',
-  { port: 24_360, taskMs: 4000, capacity: 6 },
+  // Tasks run for long enough that all of them are seen to run at once, however late the page without an answer is written again.
+  { port: 24_360, taskMs: 8000, capacity: 6 },
   async (cluster) => {
     const ids = ['req-000001', 'req-000002', 'req-000003'];
     cluster.store.keeps = (key) => key.startsWith('sk/run/');
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { execFileSync } from 'node:child_process';
 import { after, before, test } from 'node:test';
+import { ledgerLayout } from '../placement/ledger-layout.js';
 import { type Cluster, labels, leaseMs, pause, reportMs, submission } from '../testing/cluster.js';
 import { type ProductionBuild, buildProduction, productionCommit } from '../testing/production.js';
 import { scenario } from '../testing/scenario.js';
@@ -39,15 +40,21 @@
 }
 
 function ownersOf(cluster: Cluster): string[] {
-  return labels.map((_, block) =>
-    String((cluster.store.value(`block/${block}`) as { owner?: string }).owner),
-  );
+  return labels.map((_, block) => cluster.block(block).owner);
 }
 
-async function upgradedEverywhere(cluster: Cluster): Promise<void> {
-  await cluster.until('all have announced their format', () =>
-    labels.every((label) => cluster.store.value(`formats/${label}`) !== undefined),
-  );
+function hasUpgradedEverywhere(cluster: Cluster): boolean {
+  return labels.every((label) => cluster.store.value(`formats/${label}`) !== undefined);
+}
+
+/**
+ * Every block has the ledger of the new layout: until then pages may outgrow the limits to come, since the earlier version
+ * has to read them.
+ */
+function isLaidOutEverywhere(cluster: Cluster): boolean {
+  const [label = ''] = labels;
+  const { chunkTasks } = ledgerLayout(cluster.settings(label), true);
+  return labels.every((_, block) => cluster.chunkTasks.get(block) === chunkTasks);
 }
 
 // Guards against records that one version misreads: tasks started twice, forgotten or released by the other, in both
@@ -84,8 +91,9 @@
     await pause(3 * reportMs);
     ids.push(...(await submitSmall(cluster, 200, 3, 100)));
     await cluster.upgrade(third);
-    await upgradedEverywhere(cluster);
+    await cluster.until('all have announced their format', () => hasUpgradedEverywhere(cluster));
     await cluster.submitSurely(submission(idOf(300), 4, { moorings: [idOf(200)] }));
+    await cluster.until('all ledgers have the new layout', () => isLaidOutEverywhere(cluster));
     await cluster.until('what was large has been split', () => largestValue(cluster) <= nextBytes);
     cluster.lowerLimits();
     ids.push(...(await submitSmall(cluster, 400, 3, 200)));
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -4,28 +4,37 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { HttpPeer, type Answer } from '../base/http.js';
-import { createLog, silentLog } from '../base/log.js';
+import { createLog } from '../base/log.js';
 import { Controller } from '../controller.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
-import { parseBlock } from '../wire/records.js';
+import type { Settings } from '../settings/settings.js';
+import { type BlockRecord, type StoredValue, blockKey, machinesPrefix, parseBlock } from '../wire/records.js';
 import { check } from './checker.js';
 import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
 import { History, type JobFacts, type Told } from './history.js';
 import { Link } from './link.js';
 import { seeded } from './seeded.js';
 import { settingsJson, testSettings } from './settings.js';
-import { StoreStandIn } from './store-standin.js';
+import { StoreStandIn, storedAt } from './store-standin.js';
 import { WorkerStandIn } from './worker-standin.js';
 
 export const labels = ['keel-0', 'keel-1', 'keel-2'];
 const zones = ['a', 'b', 'b'];
+/** The times of the workers, by the settings' names. */
+export interface WorkerTimes {
+  report_s: number;
+  lease_s: number;
+  cancel_s: number;
+}
+
 /** The deployment's times, scaled: everything that a test waits for is a multiple of them. */
-export const times = { report_s: 0.2, lease_s: 2, cancel_s: 5 };
-export const reportMs = times.report_s * 1000;
-export const leaseMs = times.lease_s * 1000;
-export const cancelMs = times.cancel_s * 1000;
-/** What a user waits for an answer, and what the protocol allows for a job about which nothing is answered, likewise. */
-const forgottenMs = 1.5 * cancelMs;
+const usualTimes: WorkerTimes = { report_s: 0.2, lease_s: 2, cancel_s: 5 };
+export const reportMs = usualTimes.report_s * 1000;
+export const leaseMs = usualTimes.lease_s * 1000;
+export const cancelMs = usualTimes.cancel_s * 1000;
+/** What the protocol allows for a job about which nothing is answered, as a multiple of the time for a cancellation. */
+const forgottenCancels = 1.5;
+/** What a user waits for an answer. */
 const userMs = 5000;
 /** Red may use less than the machines have, so that its limit is what holds it back. */
 const limits = new Map([['red', 32]]);
@@ -35,6 +44,8 @@
   port: number;
   taskMs: number | ((piece: string) => number);
   fetchMs?: number;
+  /** Where the usual ones would keep this process busy with reports alone. */
+  times?: WorkerTimes;
   seed?: number;
   /** Machines that each zone has to give. */
   capacity?: number;
@@ -58,14 +69,18 @@
   readonly cutZones = new Set<string>();
   /** Called as a task completes, before anybody has heard of it. */
   onDone: (piece: string) => void = () => undefined;
+  /** Tasks that share an entry in the ledger of each block, as of the last lease that began in this process. */
+  readonly chunkTasks = new Map<number, number>();
   private calmAt = Date.now();
   private readonly running = new Map<string, AbortController>();
   private readonly processes = new Map<string, { child: ChildProcess; directory: string }>();
   private readonly users: HttpPeer[];
   private readonly links = new Map<string, Link>();
   private readonly random: () => number;
+  private readonly times: WorkerTimes;
 
   constructor(private readonly options: ClusterOptions) {
+    this.times = options.times ?? usualTimes;
     this.random = seeded(options.seed ?? 1);
     this.store = new StoreStandIn({ rps: 400, writeRps: 200, txnOps: 20 }, options.seed);
     this.users = labels.map((_, i) => new HttpPeer(this.address(i, 0), 16));
@@ -96,13 +111,25 @@
   }
 
   startController(label: string): void {
-    const settings = testSettings((file) => this.adapt(file, label));
     const stop = new AbortController();
     this.running.set(label, stop);
     // Who looks for a cause sets LOG_LEVEL, as for the service itself.
     const level = process.env['LOG_LEVEL'];
-    const log = level === undefined ? silentLog : createLog(label, level);
-    void new Controller(settings, defaultOperatorSettings, log, stop.signal).run();
+    const log = createLog(label, level, { write: (line) => this.heed(line, level !== undefined) });
+    void new Controller(this.settings(label), defaultOperatorSettings, log, stop.signal).run();
+  }
+
+  /** The settings of one controller of this cluster. */
+  settings(label: string): Settings {
+    return testSettings((file) => this.adapt(file, label));
+  }
+
+  /** Some of what the controllers in this process log is known in no other way. */
+  private heed(line: string, prints: boolean): void {
+    if (prints) process.stderr.write(line);
+    if (!line.includes('"lease-begins"')) return;
+    const { block, chunkTasks } = JSON.parse(line) as { block: number; chunkTasks: number };
+    this.chunkTasks.set(block, chunkTasks);
   }
 
   /** The program as it is deployed, but for its bundling. */
@@ -176,13 +203,22 @@
     return label;
   }
 
+  /** A block as the state service has it, with the machines that its pages name. */
+  block(block: number): BlockRecord & { version: number } {
+    const version = this.store.version(blockKey(block));
+    const pages = [...this.store.keys].flatMap(([key, { value, version }]): [number, StoredValue][] => {
+      const prefix = storedAt(machinesPrefix(block));
+      return key.startsWith(prefix) ? [[Number(key.slice(prefix.length)), { value, version }]] : [];
+    });
+    const record = parseBlock(this.store.value(blockKey(block)), version, pages);
+    if (!record) throw new Error(`no block ${block}`);
+    return { ...record, version };
+  }
+
   /** The controller that a machine's block is leased to. */
   ownerOf(machine: string): string {
-    for (const [key, { value, version }] of this.store.keys) {
-      const block = key.startsWith('sk/block/') ? parseBlock(value, version) : undefined;
-      if (block?.machines.some(({ id }) => id === machine)) return block.owner;
-    }
-    return '';
+    const blocks = labels.map((_, block) => this.block(block));
+    return blocks.find(({ machines }) => machines.some(({ id }) => id === machine))?.owner ?? '';
   }
 
   /** The link over which one controller tells the other of itself. */
@@ -288,8 +324,10 @@
 
   /** Every broken rule so far. */
   violations(): string[] {
+    const cancelMs = this.times.cancel_s * 1000;
+    const startGraceMs = (this.times.lease_s * 1000) / 2;
     const found = check(this.history.happenings, {
-      ...{ limits, cancelMs, startGraceMs: leaseMs / 2, forgottenMs, waitsMs: 2 * cancelMs },
+      ...{ limits, cancelMs, startGraceMs, forgottenMs: forgottenCancels * cancelMs, waitsMs: 2 * cancelMs },
       ...{ calmAt: this.calmAt, endsAt: Date.now() },
     });
     return found.map(({ rule, subject }) => `${rule} ${subject}`);
@@ -323,7 +361,7 @@
     Object.assign(file, { serve_on: this.address(index, 0), back: this.address(index, 1) });
     file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
     const inner = file['settings'] as Record<string, unknown>;
-    inner['workers'] = times;
+    inner['workers'] = this.times;
     const { nextLimits } = this.options;
     const next = nextLimits ? { next: nextLimits } : {};
     inner['state'] = { rps: 400, write_rps: 200, value_kb: 32, txn_ops: 20, ...next };
@@ -352,6 +390,8 @@
   private boot(machine: RentedMachine): void {
     const { taskMs, fetchMs } = this.options;
     const { id, type, zone, spot } = machine;
+    const reportMs = this.times.report_s * 1000;
+    const leaseMs = this.times.lease_s * 1000;
     this.history.add({ kind: 'machine', machine: id, type, zone, spot });
     const worker = new WorkerStandIn(machine, {
       ...{ reportMs, leaseMs, answerMs: leaseMs / 2, fetchMs: fetchMs ?? 0, saveMs: 0 },
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -17,6 +17,9 @@
   lease: number | undefined;
 }
 
+/** Where a key of ours is stored: below the root that the settings of the tests name. */
+export const storedAt = (key: string): string => `sk/${key}`;
+
 /**
  * A stand-in for the state service, written from the protocol: versions, conditions, grants, watches, limits. Each client
  * has a port of its own, so that one of them alone can be refused or cut off.
@@ -88,7 +91,12 @@
 
   /** For assertions: the value of a key, below our root. */
   value(key: string): unknown {
-    return this.keys.get(`sk/${key}`)?.value;
+    return this.keys.get(storedAt(key))?.value;
+  }
+
+  /** The revision of its last change; 0 where there is no such key. */
+  version(key: string): number {
+    return this.keys.get(storedAt(key))?.version ?? 0;
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse, client: string): Promise<void> {
--- a/src/testing/worker-standin.ts
+++ b/src/testing/worker-standin.ts
@@ -32,7 +32,8 @@
   onDone: (piece: string) => void;
 }
 
-const tickMs = 10;
+/** What a worker does by itself it looks at so often in a report interval. */
+const ticksPerReport = 20;
 const reportsKept = 40;
 
 /** A stand-in for a worker: tokens, sessions, leases and commands as the protocol says. */
@@ -60,7 +61,11 @@
     private readonly options: WorkerOptions,
   ) {
     this.peers = options.nodes.map((node) => new HttpPeer(node.address, 2));
-    this.ticks = setInterval(() => this.advance(), tickMs);
+    this.ticks = setInterval(() => this.advance(), this.tickMs);
+  }
+
+  private get tickMs(): number {
+    return this.options.reportMs / ticksPerReport;
   }
 
   get running(): string[] {
@@ -175,7 +180,7 @@
         timeoutMs: answerMs,
         signal,
       });
-      while (this.hungSince !== undefined && !signal.aborted) await sleep(tickMs, signal);
+      while (this.hungSince !== undefined && !signal.aborted) await sleep(this.tickMs, signal);
       const dropped = this.deaf || !reaches(zone, nodes[node]?.label ?? '') || Date.now() - sentAt > answerMs;
       if (signal.aborted) return;
       if (dropped) throw new Error('no answer in time');
