Placement and records in smaller modules: ledger writer, job completion, a module a record

Two types called Capacity are BlockRoom and MachineRoom. npm test before the last renaming: 238 of 238.

--- a/src/blocks/block-allocator.test.ts
+++ b/src/blocks/block-allocator.test.ts
@@ -4,7 +4,8 @@
 import { silentLog } from '../base/log.js';
 import { Term } from '../leadership/term.js';
 import { testSettings } from '../testing/settings.js';
-import { type BlockRecord, type LeasedMachine, blockKey, parseBlock } from '../wire/records.js';
+import { type BlockRecord, type LeasedMachine, parseBlock } from '../wire/block-records.js';
+import { blockKey } from '../wire/keys.js';
 import type { Condition, Write } from '../wire/state.js';
 import { BlockAllocator, type BlockAllocatorPorts } from './block-allocator.js';
 
--- a/src/blocks/block-capacity.ts
+++ b/src/blocks/block-capacity.ts
@@ -1,9 +1,10 @@
 import { type JobSpec, type MachineType, type Resources, fits, taskKind } from '../model/types.js';
 import type { JobIndex } from '../placement/job-index.js';
-import type { BlockRecord, LeasedMachine, Part } from '../wire/records.js';
+import type { BlockRecord, LeasedMachine } from '../wire/block-records.js';
+import type { Part } from '../wire/job-records.js';
 
 /** What a block can still take of a job. */
-export interface Capacity {
+export interface BlockRoom {
   block: number;
   /** Tasks that fit into what is free now, less what already waits there. */
   free: number;
@@ -29,8 +30,8 @@
 /** The blocks' room for jobs at one moment; what is dispatched in the meantime is taken off it. */
 export class BlockCapacity {
   private readonly used: ReadonlyMap<string, Resources>;
-  /** Capacity by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
-  private readonly byKind = new Map<string, (Capacity & { spot: boolean })[]>();
+  /** Room by kind of task, before what waits: walking all machines for each of many jobs would take too long. */
+  private readonly byKind = new Map<string, (BlockRoom & { spot: boolean })[]>();
   /** CPUs of tasks that wait in a block, by the kind of machine that they wait for. */
   private readonly waitingCpus = new Map<string, number>();
 
@@ -44,7 +45,7 @@
   }
 
   /** Roomiest first. Blocks whose owner is gone have none, unless all owners are. */
-  of(spec: JobSpec): Capacity[] {
+  of(spec: JobSpec): BlockRoom[] {
     const key = taskKind(spec);
     let kind = this.byKind.get(key);
     if (!kind) this.byKind.set(key, (kind = this.measure(spec)));
@@ -55,7 +56,7 @@
     return capacities.sort((a, b) => b.free - a.free || b.size - a.size || a.block - b.block);
   }
 
-  private measure(spec: JobSpec): (Capacity & { spot: boolean })[] {
+  private measure(spec: JobSpec): (BlockRoom & { spot: boolean })[] {
     const { blocks, alive, types, lookahead, up } = this.facts;
     const all = [...blocks];
     const served = all.filter(([, record]) => alive(record.owner));
--- a/src/blocks/block-leases.ts
+++ b/src/blocks/block-leases.ts
@@ -14,7 +14,7 @@
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
 import { type LedgerLayout, ledgerLayout } from '../placement/ledger-layout.js';
-import type { BlockRecord } from '../wire/records.js';
+import type { BlockRecord } from '../wire/block-records.js';
 import type { Change } from '../wire/state.js';
 import { HealthMonitor } from '../workers/health-monitor.js';
 import type { MachineState } from '../workers/machine-state.js';
--- a/src/blocks/block-writer.test.ts
+++ b/src/blocks/block-writer.test.ts
@@ -4,14 +4,9 @@
 import { HeldStore } from '../testing/held-store.js';
 import { testSettings } from '../testing/settings.js';
 import { mirrorOf } from '../testing/stored-mirror.js';
-import {
-  type BlockRecord,
-  type LeasedMachine,
-  blockKey,
-  blockRecord,
-  formatKey,
-  formatRecord,
-} from '../wire/records.js';
+import { type BlockRecord, type LeasedMachine, blockRecord } from '../wire/block-records.js';
+import { formatRecord } from '../wire/controller-records.js';
+import { blockKey, formatKey } from '../wire/keys.js';
 import { BlockWriter, type BlockWriteResult } from './block-writer.js';
 import { giveTo } from './leasing.js';
 import { Registry } from './registry.js';
--- a/src/blocks/block-writer.ts
+++ b/src/blocks/block-writer.ts
@@ -6,14 +6,13 @@
 import {
   type BlockRecord,
   type LeasedMachine,
-  blockKey,
   blockRecord,
   kindOfMachine,
   machineGroups,
-  machinesKey,
   pagedBlockRecord,
   tokenOfThisCommit,
-} from '../wire/records.js';
+} from '../wire/block-records.js';
+import { blockKey, machinesKey } from '../wire/keys.js';
 import { type Condition, type Write, transactionBytes } from '../wire/state.js';
 import type { Registry, StoredBlock } from './registry.js';
 
--- a/src/blocks/dispatcher.ts
+++ b/src/blocks/dispatcher.ts
@@ -9,10 +9,12 @@
 import type { Settings } from '../settings/settings.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type LeasedMachine, type Part, jobKey, jobRecord, leadKey, mostParts } from '../wire/records.js';
+import type { LeasedMachine } from '../wire/block-records.js';
+import { type Part, jobRecord, mostParts } from '../wire/job-records.js';
+import { jobKey, leadKey } from '../wire/keys.js';
 import { restore, takeBack } from './rebalance.js';
 import type { Registry } from './registry.js';
-import { type Capacity, BlockCapacity, bound, undispatched, undispatchedTasks } from './block-capacity.js';
+import { type BlockRoom, BlockCapacity, bound, undispatched, undispatchedTasks } from './block-capacity.js';
 
 export interface DispatcherPorts {
   clock: Clock;
@@ -184,7 +186,7 @@
 }
 
 /** How many of a job's tasks that wait in a block have no room there and some in others. */
-function movable(room: Capacity[], block: number, waiting: number): number {
+function movable(room: BlockRoom[], block: number, waiting: number): number {
   const own = room.find((r) => r.block === block);
   // A block whose owner is gone has none.
   const over = own ? clamp(-own.free, waiting) : waiting;
--- a/src/blocks/job-home.ts
+++ b/src/blocks/job-home.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../base/clock.js';
 import type { JobSpec, MachineType } from '../model/types.js';
 import type { JobIndex } from '../placement/job-index.js';
-import type { Part } from '../wire/records.js';
+import type { Part } from '../wire/job-records.js';
 import { BlockCapacity } from './block-capacity.js';
 import type { Registry } from './registry.js';
 import type { UpMachines } from './up-machines.js';
--- a/src/blocks/leasing.ts
+++ b/src/blocks/leasing.ts
@@ -1,4 +1,9 @@
-import { type BlockRecord, type LeasedMachine, type Shares, tokenOfThisCommit } from '../wire/records.js';
+import {
+  type BlockRecord,
+  type LeasedMachine,
+  type Shares,
+  tokenOfThisCommit,
+} from '../wire/block-records.js';
 
 export interface Member {
   label: string;
--- a/src/blocks/rebalance.ts
+++ b/src/blocks/rebalance.ts
@@ -1,6 +1,7 @@
 import type { JobSpec } from '../model/types.js';
 import type { IndexedEntry } from '../placement/job-index.js';
-import { fromRanges, type Part } from '../wire/records.js';
+import { fromRanges } from '../base/ranges.js';
+import type { Part } from '../wire/job-records.js';
 import { bound, mergeParts, undispatched } from './block-capacity.js';
 
 type Entry = Pick<IndexedEntry, 'block' | 'active' | 'done'>;
--- a/src/blocks/registry.ts
+++ b/src/blocks/registry.ts
@@ -1,17 +1,7 @@
 import type { Mirror } from '../store/mirror.js';
-import {
-  type BlockRecord,
-  type LeasedMachine,
-  type StoredValue,
-  blockKey,
-  currentFormat,
-  formatKey,
-  machinesPrefix,
-  namesItsMachines,
-  parseAlive,
-  parseBlock,
-  parseFormat,
-} from '../wire/records.js';
+import { type BlockRecord, type LeasedMachine, namesItsMachines, parseBlock } from '../wire/block-records.js';
+import { currentFormat, parseAlive, parseFormat } from '../wire/controller-records.js';
+import { type StoredValue, blockKey, formatKey, machinesPrefix } from '../wire/keys.js';
 import type { Member } from './leasing.js';
 
 /** A block as the copy of the store has it. */
--- a/src/blocks/shares.ts
+++ b/src/blocks/shares.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '../model/types.js';
 import { withinLimit } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
-import type { BlockRecord, Shares } from '../wire/records.js';
+import type { BlockRecord, Shares } from '../wire/block-records.js';
 
 type Amount = [cpus: number, accelerators: number];
 
--- a/src/blocks/up-machines.ts
+++ b/src/blocks/up-machines.ts
@@ -1,6 +1,6 @@
 /** Which machines can start tasks. */
 import type { MachineType } from '../model/types.js';
-import type { LeasedMachine } from '../wire/records.js';
+import type { LeasedMachine } from '../wire/block-records.js';
 
 /** The protocol's usual boot takes up to so many times the type's figure. */
 const usualBootTimes = 1.5;
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -31,7 +31,8 @@
 import { type Lane, StoreClient } from './store/client.js';
 import { CommitStage } from './store/commit-stage.js';
 import { Mirror } from './store/mirror.js';
-import { endKey, endRecord, endedJob, leadKey, parseEnd } from './wire/records.js';
+import { endRecord, parseEnd } from './wire/job-records.js';
+import { endKey, endedJob, leadKey } from './wire/keys.js';
 import { ReportHandler } from './workers/report-handler.js';
 
 const probeMs = 400;
--- a/src/dependencies/cascade.ts
+++ b/src/dependencies/cascade.ts
@@ -6,7 +6,8 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { endKey, endRecord, jobKey } from '../wire/records.js';
+import { endRecord } from '../wire/job-records.js';
+import { endKey, jobKey } from '../wire/keys.js';
 import type { Condition, Write } from '../wire/state.js';
 
 export interface CascadePorts {
--- a/src/dependencies/dependency-graph.test.ts
+++ b/src/dependencies/dependency-graph.test.ts
@@ -2,7 +2,7 @@
 import { describe, test } from 'node:test';
 import type { JobSpec } from '../model/types.js';
 import { jobSpec } from '../testing/block-stage.js';
-import type { EndRecord } from '../wire/records.js';
+import type { EndRecord } from '../wire/job-records.js';
 import { DependencyGraph } from './dependency-graph.js';
 
 const done: EndRecord = { end: 'done', tasks: 1, at: 5000 };
--- a/src/dependencies/dependency-graph.ts
+++ b/src/dependencies/dependency-graph.ts
@@ -1,7 +1,7 @@
 /** The graph of open jobs that need others, and what follows from it: readiness, cancellation, priority, latest end. */
 import type { JobSpec, Urgency } from '../model/types.js';
 import { moreUrgent } from '../model/urgency.js';
-import type { EndRecord } from '../wire/records.js';
+import type { EndRecord } from '../wire/job-records.js';
 
 /**
  * `ready`: all dependencies are done. `doomed`: a job before it is cancelled, so that it has to be cancelled too.
--- a/src/intake/admission.ts
+++ b/src/intake/admission.ts
@@ -2,7 +2,7 @@
 import type { Team } from '../settings/settings.js';
 
 import { sizeOf } from '../wire/codec.js';
-import { jobRecord, leastPartsBytes } from '../wire/records.js';
+import { jobRecord, leastPartsBytes } from '../wire/job-records.js';
 
 /** Why the record of a job would not fit a value of the state service. */
 export function whyTooLarge(job: JobSpec, valueBytes: number): string | undefined {
--- a/src/intake/end-reader.ts
+++ b/src/intake/end-reader.ts
@@ -1,7 +1,7 @@
 /** Reads the ends of jobs that this controller has not heard of, many with each request to the state service. */
 import type { Mirror } from '../store/mirror.js';
 import type { StoreClient } from '../store/client.js';
-import { endKey, endPrefix } from '../wire/records.js';
+import { endKey, endPrefix } from '../wire/keys.js';
 
 export interface EndReaderPorts {
   store: Pick<StoreClient, 'listPage'>;
--- a/src/intake/job-canceller.ts
+++ b/src/intake/job-canceller.ts
@@ -5,7 +5,8 @@
 import { cancellation, changesPerEnd } from '../dependencies/cascade.js';
 import type { JobIndex } from '../placement/job-index.js';
 import type { Settings } from '../settings/settings.js';
-import { endKey, jobKey, parseJobRecord } from '../wire/records.js';
+import { parseJobRecord } from '../wire/job-records.js';
+import { endKey, jobKey } from '../wire/keys.js';
 import type { JobStatusReader, JobStatusResult } from './job-status.js';
 
 export interface CancelPorts {
--- a/src/intake/job-status.ts
+++ b/src/intake/job-status.ts
@@ -3,7 +3,8 @@
 import type { Mirror } from '../store/mirror.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import { type End, endKey, jobKey, parseEnd, parseJobRecord } from '../wire/records.js';
+import { type End, parseEnd, parseJobRecord } from '../wire/job-records.js';
+import { endKey, jobKey } from '../wire/keys.js';
 import type { Condition } from '../wire/state.js';
 import type { EndReader } from './end-reader.js';
 
--- a/src/ladder/demand.ts
+++ b/src/ladder/demand.ts
@@ -10,7 +10,7 @@
 import type { OrderOfWork } from '../placement/order.js';
 import { Usage } from '../placement/placement-round.js';
 import type { Team } from '../settings/settings.js';
-import type { LeasedMachine } from '../wire/records.js';
+import type { LeasedMachine } from '../wire/block-records.js';
 import { type LadderShape, slotsOf, slotsPerMachine } from './ladder.js';
 
 /** All machines of one type and kind: each such pool has a ladder of its own. */
--- a/src/ladder/failure-observer.ts
+++ b/src/ladder/failure-observer.ts
@@ -1,7 +1,7 @@
 /** Observation of task failures, which the tuning of thresholds counts. */
 import type { JobIndex } from '../placement/job-index.js';
 import { type Pool, poolKey, poolsFor } from './demand.js';
-import type { LeasedMachine } from '../wire/records.js';
+import type { LeasedMachine } from '../wire/block-records.js';
 import type { Outcome } from './tuner.js';
 
 /**
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -5,7 +5,8 @@
 import type { CommitOutcome, StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { type LeadRecord, leadKey, leadRecord, parseLead } from '../wire/records.js';
+import { type LeadRecord, leadRecord, parseLead } from '../wire/controller-records.js';
+import { leadKey } from '../wire/keys.js';
 import type { Membership } from './membership.js';
 import { Term } from './term.js';
 
--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -7,13 +7,12 @@
 import type { Mirror } from '../store/mirror.js';
 import {
   type AliveRecord,
-  aliveKey,
   currentFormat,
-  formatKey,
   formatRecord,
   parseAlive,
   parseFormat,
-} from '../wire/records.js';
+} from '../wire/controller-records.js';
+import { aliveKey, formatKey } from '../wire/keys.js';
 
 export interface MembershipPorts {
   clock: Clock;
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -3,15 +3,10 @@
 import { type JobSpec, type Report, taskKey } from '../model/types.js';
 import type { Team } from '../settings/settings.js';
 import type { Mirror } from '../store/mirror.js';
-import {
-  type BlockRecord,
-  type LedgerEntry,
-  type Shares,
-  endKey,
-  endedJob,
-  parseEnd,
-  parseJobRecord,
-} from '../wire/records.js';
+import type { BlockRecord, Shares } from '../wire/block-records.js';
+import { parseEnd, parseJobRecord } from '../wire/job-records.js';
+import { endKey, endedJob } from '../wire/keys.js';
+import type { LedgerEntry } from '../wire/ledger-records.js';
 import type { Change } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
--- a/src/placement/job-index.ts
+++ b/src/placement/job-index.ts
@@ -1,17 +1,10 @@
 import { type DependencyState, DependencyGraph } from '../dependencies/dependency-graph.js';
 import type { JobSpec, Resources } from '../model/types.js';
 import type { Mirror } from '../store/mirror.js';
-import {
-  type EndRecord,
-  type JobRecord,
-  type LedgerEntry,
-  endedJob,
-  parseEnd,
-  parseJobRecord,
-  parseLedgerKey,
-  parseLedgerPage,
-  rangesSize,
-} from '../wire/records.js';
+import { rangesSize } from '../base/ranges.js';
+import { type EndRecord, type JobRecord, parseEnd, parseJobRecord } from '../wire/job-records.js';
+import { endedJob, parseLedgerKey } from '../wire/keys.js';
+import { type LedgerEntry, parseLedgerPage } from '../wire/ledger-records.js';
 import type { Change } from '../wire/state.js';
 import { withoutCovered } from './ledger-entries.js';
 import type { ChainFacts, OrderOfWork, Queued } from './order.js';
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -1,6 +1,8 @@
 import type { JobSpec, Resources } from '../model/types.js';
-import type { End, LedgerEntry, Part } from '../wire/records.js';
-import { compactEntryBytes, entryBytes, fromRanges, toRanges } from '../wire/records.js';
+import type { End, Part } from '../wire/job-records.js';
+import type { LedgerEntry } from '../wire/ledger-records.js';
+import { fromRanges, toRanges } from '../base/ranges.js';
+import { compactEntryBytes, entryBytes } from '../wire/ledger-records.js';
 import type { Chunk, Dirt, Ledger, LedgerPage } from './ledger.js';
 
 /**
--- a/src/placement/ledger-entries.ts
+++ b/src/placement/ledger-entries.ts
@@ -1,5 +1,6 @@
 /** Entries of different sizes that cover the same tasks. */
-import { type LedgerEntry, fromRanges, toRanges } from '../wire/records.js';
+import { fromRanges, toRanges } from '../base/ranges.js';
+import type { LedgerEntry } from '../wire/ledger-records.js';
 
 interface TaskRange {
   first: number;
--- a/src/placement/ledger-layout.ts
+++ b/src/placement/ledger-layout.ts
@@ -1,6 +1,6 @@
 /** How large the pages of a ledger are, and how many tasks share an entry. */
 import type { Settings } from '../settings/settings.js';
-import { compactTasksPerChunk, entryBytes, leastPageBytes, tasksPerChunk } from '../wire/records.js';
+import { compactTasksPerChunk, entryBytes, leastPageBytes, tasksPerChunk } from '../wire/ledger-records.js';
 
 export interface LedgerLayout {
   pageBytes: number;
--- a/src/placement/ledger.ts
+++ b/src/placement/ledger.ts
@@ -1,4 +1,4 @@
-import { type LedgerEntry, writtenBytes } from '../wire/records.js';
+import { type LedgerEntry, writtenBytes } from '../wire/ledger-records.js';
 import type { JobState, Task } from './job-state.js';
 
 /** `soon`: what changed can also be learned from the workers again. `now`: something waits for the commit. */
--- a/src/placement/placement-round.ts
+++ b/src/placement/placement-round.ts
@@ -64,7 +64,7 @@
   }
 }
 
-interface Capacity {
+interface MachineRoom {
   machine: MachineState;
   free: Resources;
 }
@@ -118,12 +118,12 @@
     let left = job.waiting;
     let at = 0;
     while (left > 0 && choices.length < facts.most && usage.admits(team, job.need)) {
-      const suits = ({ machine, free }: Capacity): boolean =>
+      const suits = ({ machine, free }: MachineRoom): boolean =>
         fits(job.need, free) &&
         (!spec.spread || inZone(zones, machine.place.zone) < half) &&
         (!spec.oneZone || zones.size === 0 || zones.has(machine.place.zone));
       // What does not suit one task of the job does not suit its next: nothing frees up within a round.
-      while (at < candidates.length && !suits(candidates[at] as Capacity)) at++;
+      while (at < candidates.length && !suits(candidates[at] as MachineRoom)) at++;
       const room = candidates[at];
       const task = room && job.next();
       if (!room || !task) break;
@@ -145,7 +145,7 @@
 }
 
 /** A machine that has the image need not fetch it; one whose answer is held hears of the task at once. */
-function quickestFirst<R extends Capacity>(rooms: R[], image: string): R[] {
+function quickestFirst<R extends MachineRoom>(rooms: R[], image: string): R[] {
   const ranked: R[][] = [[], [], [], []];
   for (const room of rooms) {
     const { images, wake } = room.machine;
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -6,7 +6,7 @@
 import { testSettings } from '../testing/settings.js';
 import { parseMachineTypes } from '../wire/cloud.js';
 import { sizeOf } from '../wire/codec.js';
-import { ledgerPage, tasksPerChunk } from '../wire/records.js';
+import { ledgerPage, tasksPerChunk } from '../wire/ledger-records.js';
 import { MachineState } from '../workers/machine-state.js';
 import { stragglers } from '../workers/slowness.js';
 import { BlockState } from './block-state.js';
--- a/src/placement/stored-pages.ts
+++ b/src/placement/stored-pages.ts
@@ -1,6 +1,7 @@
 /** A block's ledger as the copy of the store has it. */
 import type { Mirror } from '../store/mirror.js';
-import { type LedgerEntry, ledgerPrefix, parseLedgerKey, parseLedgerPage } from '../wire/records.js';
+import { ledgerPrefix, parseLedgerKey } from '../wire/keys.js';
+import { type LedgerEntry, parseLedgerPage } from '../wire/ledger-records.js';
 import { chunkTasksOf, withoutCovered } from './ledger-entries.js';
 import type { LedgerLayout } from './ledger-layout.js';
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import { leastPageBytes } from '../wire/records.js';
+import { leastPageBytes } from '../wire/ledger-records.js';
 
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
--- a/src/testing/held-store.ts
+++ b/src/testing/held-store.ts
@@ -2,7 +2,8 @@
 import { nextTurn } from '../base/turns.js';
 import { type CommitOutcome, StoreUnavailable } from '../store/client.js';
 import { sizeOf } from '../wire/codec.js';
-import { type End, endKey, endRecord, jobKey } from '../wire/records.js';
+import { type End, endRecord } from '../wire/job-records.js';
+import { endKey, jobKey } from '../wire/keys.js';
 import { type Condition, type Item, type ListPage, type Write, writtenKey } from '../wire/state.js';
 
 interface StoredValue {
--- a/src/testing/traces.ts
+++ b/src/testing/traces.ts
@@ -2,7 +2,7 @@
 import { valueLayout } from './block-stage.js';
 import type { JobSpec, ReportedTask } from '../model/types.js';
 import { BlockState } from '../placement/block-state.js';
-import type { Part } from '../wire/records.js';
+import type { Part } from '../wire/job-records.js';
 
 /**
  * Runs a kept trace against a block. A line is an event; a line that starts with `=` is what must come of the
--- a/src/wire/codec.test.ts
+++ b/src/wire/codec.test.ts
@@ -2,20 +2,17 @@
 import { test } from 'node:test';
 import { Packr } from 'msgpackr';
 import { decode, decodeFields, encode, number, sizeOf } from './codec.js';
+import { fromRanges, rangesSize, toRanges } from '../base/ranges.js';
+import { blockRecord, parseBlock } from './block-records.js';
 import {
-  blockRecord,
-  entryBytes,
-  fromRanges,
-  ledgerPage,
-  parseBlock,
-  rangesSize,
-  tasksPerChunk,
   compactEntryBytes,
   compactTasksPerChunk,
+  entryBytes,
+  ledgerPage,
   parseLedgerPage,
+  tasksPerChunk,
   writtenBytes,
-  toRanges,
-} from './records.js';
+} from './ledger-records.js';
 import { parseReport } from './workers.js';
 
 const packr = new Packr({ useRecords: false });
--- /dev/null
+++ b/src/wire/ledger-records.ts
@@ -0,0 +1,161 @@
+/** The pages in which the owner of a block records what becomes of tasks, and the room that their entries take. */
+import { list, number, sizeOf, text } from './codec.js';
+
+/**
+ * What a block has of a job's tasks, or of so many of them as one entry takes: a chunk of consecutive numbers. What is
+ * in none of its lists has never been started.
+ */
+export interface LedgerEntry {
+  id: string;
+  chunk: number;
+  /** Team and resources, so that tasks still on machines count after the job record has gone. */
+  team: string;
+  cpus: number;
+  accelerators: number;
+  memoryGb: number;
+  /** Tasks that are on a machine, or may be: [index, attempt, machine]. */
+  active: [number, number, string][];
+  /** Tasks that wait after an earlier attempt: [index, last attempt]. */
+  waiting: [number, number][];
+  /** Completed tasks as ranges: first, last, first, last… */
+  done: number[];
+  /**
+   * Tasks of a chunk, where these are not as many as earlier versions take. Where entries of several sizes cover a task, the
+   * one of the smallest size is the newest and the only one that counts.
+   */
+  chunkTasks?: number;
+}
+
+/** A page of a block's ledger holds entries of many jobs, so that one change of the store records a whole round. */
+export function ledgerPage(entries: LedgerEntry[]): unknown {
+  return entries.map(ledgerEntry);
+}
+
+export function ledgerEntry(entry: LedgerEntry): unknown {
+  const { id, chunk, team, cpus, accelerators, memoryGb, active, waiting, done } = entry;
+  const job = [id, chunk, team, cpus, accelerators, memoryGb];
+  return entry.chunkTasks === undefined ? [...job, active, waiting, done] : [...job, ...compactTasks(entry)];
+}
+
+/** Every controller reads every page of all the others, so the lists are taken as they come: we alone write them. */
+export function parseLedgerPage(value: unknown): LedgerEntry[] {
+  return list(value)
+    .map((entry) => {
+      const [id, chunk, team, cpus, accelerators, memoryGb, ...tasks] = list(entry);
+      return {
+        ...{ id: text(id), chunk: number(chunk), team: text(team) },
+        ...{ cpus: number(cpus), accelerators: number(accelerators), memoryGb: number(memoryGb) },
+        ...(tasks.length > plainLists ? parseCompactTasks(tasks) : parsePlainTasks(tasks)),
+      };
+    })
+    .filter((entry) => entry.id !== '');
+}
+
+type EntryTasks = Pick<LedgerEntry, 'active' | 'waiting' | 'done' | 'chunkTasks'>;
+
+/** Entries of earlier versions end with the lists of active, waiting and done tasks. */
+const plainLists = 3;
+
+function parsePlainTasks([active, waiting, done]: unknown[]): EntryTasks {
+  return {
+    active: list(active) as LedgerEntry['active'],
+    waiting: list(waiting) as LedgerEntry['waiting'],
+    done: list(done) as number[],
+  };
+}
+
+/** How the names of machines are shortened to their numbers: a prefix, and the digits that follow it. */
+type MachineNames = [prefix: string, digits: number];
+
+const numberedName = /^(.*?)([0-9]{1,15})$/;
+
+function namesLike(machine: string): MachineNames {
+  const [, prefix = '', digits = ''] = numberedName.exec(machine) ?? [];
+  return [prefix, digits.length];
+}
+
+function shortName(machine: string, [prefix, digits]: MachineNames): number | string {
+  const isLike = machine.length === prefix.length + digits && machine.startsWith(prefix);
+  const rest = machine.slice(prefix.length);
+  return isLike && digits > 0 && /^[0-9]+$/.test(rest) ? Number(rest) : machine;
+}
+
+function longName(name: unknown, [prefix, digits]: MachineNames): string {
+  return typeof name === 'number' ? prefix + String(name).padStart(digits, '0') : text(name);
+}
+
+/**
+ * Flat lists, since each change writes a whole page: first attempts as pairs of task and machine, later ones as triples with
+ * the attempt, waiting tasks as pairs with their last attempt, ranges of completed tasks.
+ */
+function compactTasks({ active, waiting, done, chunkTasks }: LedgerEntry): unknown[] {
+  const names = namesLike(active[0]?.[2] ?? '');
+  const first: (number | string)[] = [];
+  const later: (number | string)[] = [];
+  for (const [index, attempt, machine] of active) {
+    if (attempt === 1) first.push(index, shortName(machine, names));
+    else later.push(index, attempt, shortName(machine, names));
+  }
+  return [first, later, waiting.flat(), done, chunkTasks, names];
+}
+
+function parseCompactTasks([first, later, waiting, done, chunkTasks, nameForm]: unknown[]): EntryTasks {
+  const [prefix, digits] = list(nameForm);
+  const names: MachineNames = [text(prefix), number(digits)];
+  const active: LedgerEntry['active'] = [];
+  for (const [index, machine] of groups(first, 2)) active.push([number(index), 1, longName(machine, names)]);
+  for (const [index, attempt, machine] of groups(later, 3)) {
+    active.push([number(index), number(attempt), longName(machine, names)]);
+  }
+  return {
+    active,
+    waiting: groups(waiting, 2).map(([index, attempt]) => [number(index), number(attempt)]),
+    done: list(done) as number[],
+    chunkTasks: number(chunkTasks),
+  };
+}
+
+function groups(flat: unknown, size: number): unknown[][] {
+  const all = list(flat);
+  return Array.from({ length: Math.floor(all.length / size) }, (_, i) => all.slice(i * size, (i + 1) * size));
+}
+
+/** Worst case of one task, and of an entry without its tasks, in the JSON form that limits are measured in. */
+const bytesPerTask = 28;
+
+const bytesPerEntry = 120;
+
+/** An entry takes this part of a page at most, so that pages fill well. */
+const chunkShare = 1 / 4;
+
+/** A page has to hold an entry with a task of its own. */
+export const leastPageBytes = Math.ceil((bytesPerEntry + bytesPerTask) / chunkShare);
+
+export function tasksPerChunk(valueBytes: number): number {
+  return Math.max(1, Math.floor((valueBytes * chunkShare - bytesPerEntry) / bytesPerTask));
+}
+
+export function entryBytes(tasks: number): number {
+  return bytesPerEntry + tasks * bytesPerTask;
+}
+
+/** What an entry takes as it stands, at the most; compact ones are measured, since they may fill a page to the last byte. */
+export function writtenBytes(entry: LedgerEntry): number {
+  if (entry.chunkTasks !== undefined) return sizeOf(ledgerEntry(entry)) + 1;
+  const { active, waiting, done } = entry;
+  return bytesPerEntry + (active.length + waiting.length + done.length) * bytesPerTask;
+}
+
+/** Worst case of a task in a compact entry while it is on no machine, and an entry without its tasks as it mostly is. */
+const bytesPerIdleTask = 11;
+
+const bytesPerCompactEntry = 80;
+
+export function compactTasksPerChunk(pageBytes: number): number {
+  return Math.max(1, Math.floor((pageBytes * chunkShare - bytesPerCompactEntry) / bytesPerIdleTask));
+}
+
+/** What an entry with so many tasks takes once none of them is on a machine. */
+export function compactEntryBytes(entry: LedgerEntry, tasks: number): number {
+  return writtenBytes({ ...entry, active: [], waiting: [], done: [] }) + tasks * bytesPerIdleTask;
+}
