On rereading: one end transaction, one grouping, one reader of ends and of machine pages

No change of behaviour. The transaction that decides a job's end stood in the cascade and in job completion, each with its number of changes; the end of a job was read out of the copy in four places; grouping by a key in three, machine pages in the registry and in the tests' cluster.

--- /dev/null
+++ b/src/base/group-by.ts
@@ -0,0 +1,11 @@
+/** The items by what they have in common, in the order in which they come. */
+export function groupBy<K, V>(items: Iterable<V>, keyOf: (item: V) => K): Map<K, V[]> {
+  const groups = new Map<K, V[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group) group.push(item);
+    else groups.set(key, [item]);
+  }
+  return groups;
+}
--- a/src/blocks/block-writer.ts
+++ b/src/blocks/block-writer.ts
@@ -1,4 +1,5 @@
 /** Writes of blocks: a record that commits are conditioned on, and pages that name the machines. */
+import { groupBy } from '../base/group-by.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
@@ -72,13 +73,8 @@
   stored: StoredBlock | undefined,
   next: ReadonlyMap<number, LeasedMachine[]>,
 ): PageChange[] {
-  const before = new Map<number, LeasedMachine[]>();
-  if (stored?.inline === false) {
-    for (const machine of stored.record.machines) {
-      const page = machine.page ?? 0;
-      before.set(page, [...(before.get(page) ?? []), machine]);
-    }
-  }
+  const named = stored?.inline === false ? stored.record.machines : [];
+  const before = groupBy(named, ({ page }) => page ?? 0);
   const changes = [...next]
     .filter(([page, machines]) => !sameMachines(before.get(page) ?? [], machines))
     .map(([page, machines]) => ({ page, machines }));
@@ -106,10 +102,11 @@
 
 /**
  * Earlier versions read only records that name all machines, so these are written until every controller has run with this
- * one, and after that for as long as they are small. The machines of larger blocks are on pages, and a change of more pages than a transaction holds is made in steps. Each step is
- * safe by itself, since what it says of one machine does not depend on another, and each has a new version of the record, so
- * that no intent is committed on an earlier step. Pages beside a record that still names the machines itself mean nothing:
- * they are prepared first, and count from the one commit that takes the machines out of the record.
+ * one, and after that for as long as they are small. The machines of larger blocks are on pages, and a change of more pages
+ * than a transaction holds is made in steps. Each step is safe by itself, since what it says of one machine does not depend
+ * on another, and each has a new version of the record, so that no intent is committed on an earlier step. Pages beside a
+ * record that still names the machines itself mean nothing: they are prepared first, and count from the one commit that
+ * takes the machines out of the record.
  */
 export class BlockWriter {
   constructor(private readonly ports: BlockWriterPorts) {}
--- a/src/blocks/registry.ts
+++ b/src/blocks/registry.ts
@@ -1,5 +1,11 @@
 import type { Mirror } from '../store/mirror.js';
-import { type BlockRecord, type LeasedMachine, namesItsMachines, parseBlock } from '../wire/block-records.js';
+import {
+  type BlockRecord,
+  type LeasedMachine,
+  machinePages,
+  namesItsMachines,
+  parseBlock,
+} from '../wire/block-records.js';
 import { currentFormat, parseAlive, parseFormat } from '../wire/controller-records.js';
 import { type StoredValue, blockKey, formatKey, machinesPrefix } from '../wire/keys.js';
 import type { Member } from './leasing.js';
@@ -71,12 +77,7 @@
   }
 
   private pagesOf(block: number): Map<number, StoredValue> {
-    const prefix = machinesPrefix(block);
-    const pages = [...this.mirror.below(prefix)].map(([key, entry]): [number, StoredValue] => [
-      Number(key.slice(prefix.length)),
-      entry,
-    ]);
-    return new Map(pages.sort(([a], [b]) => a - b));
+    return machinePages(block, this.mirror.below(machinesPrefix(block)));
   }
 
   version(block: number): number {
--- a/src/controller.ts
+++ b/src/controller.ts
@@ -118,7 +118,7 @@
     const store = new StoreClient(settings, clock, signal);
     const mirror = new Mirror(store, store.watchGapMs, probeMs);
     const cancellations = new Cancellations(() => mirror.firstRevision);
-    const jobIndex = new JobIndex(clock, (id) => parseEnd(mirror.get(endKey(id))?.value));
+    const jobIndex = new JobIndex(clock, (id) => mirror.endOf(id));
     const ends = new EndReader({ store, mirror });
     const labels = [settings.label, ...settings.peers.map((peer) => peer.label)];
     const registry = new Registry(mirror, labels);
--- a/src/dependencies/cascade.ts
+++ b/src/dependencies/cascade.ts
@@ -6,9 +6,8 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Mirror } from '../store/mirror.js';
-import { endRecord } from '../wire/job-records.js';
-import { endKey, jobKey } from '../wire/keys.js';
-import type { Condition, Write } from '../wire/state.js';
+import { changesPerEnd, endTransaction } from '../wire/end-transaction.js';
+import { endKey } from '../wire/keys.js';
 
 export interface CascadePorts {
   clock: Clock;
@@ -29,25 +28,6 @@
 const looksPerReport = 10;
 /** The leader cancels at once; the others cancel what it has left for so many report intervals. */
 const patienceReports = 2;
-/** An end and the job's record. */
-export const changesPerEnd = 2;
-
-/** The transaction that decides a job's end as cancelled. */
-export function cancellation(
-  id: string,
-  jobVersion: number,
-  tasks: number,
-  at: number,
-): { conditions: Condition[]; writes: [{ put: string; value: unknown }, Write] } {
-  return {
-    conditions: [
-      { key: endKey(id), version: 0 },
-      { key: jobKey(id), version: jobVersion },
-    ],
-    writes: [{ put: endKey(id), value: endRecord({ end: 'cancelled', tasks, at }) }, { drop: jobKey(id) }],
-  };
-}
-
 /**
  * What has to be cancelled follows from the records and ends alone, so whichever controller comes upon it may do it, at any
  * time and again: each job's end is decided once, whoever asks.
@@ -99,7 +79,8 @@
     const { jobIndex, mirror, commits, wallClock, log, readEnd } = this.ports;
     const job = jobIndex.openJob(id);
     if (!job) return;
-    const { conditions, writes } = cancellation(id, job.version, job.spec.tasks, wallClock());
+    const end = { end: 'cancelled', tasks: job.spec.tasks, at: wallClock() } as const;
+    const { conditions, writes } = endTransaction(id, job.version, end);
     const outcome = await commits.commit(conditions, writes);
     if (outcome.kind === 'applied') {
       log.info({ event: 'dependent-cancelled', job: id }, 'cancelled with a job that it needs');
--- a/src/fault-scenarios/chains.test.ts
+++ b/src/fault-scenarios/chains.test.ts
@@ -23,16 +23,7 @@
   cluster.history.happenings.filter((h) => h.kind === 'started' && h.task.startsWith(`${id}/`)).length;
 
 async function cancelledEverywhere(cluster: Cluster, ids: string[], withinMs = cancelMs): Promise<void> {
-  for (const id of ids) {
-    await cluster.until(
-      `${id} is cancelled for all`,
-      async () => {
-        const told = await Promise.all([0, 1, 2].map((node) => cluster.ask(node, id)));
-        return told.every((what) => what === 'cancelled');
-      },
-      withinMs,
-    );
-  }
+  await cluster.toldEverywhere(ids, 'cancelled', withinMs);
 }
 
 // Guards against `too_early`, and against a job that is never told of the end that it waits for.
--- a/src/fault-scenarios/large-fleet.test.ts
+++ b/src/fault-scenarios/large-fleet.test.ts
@@ -26,10 +26,6 @@
   return [...cluster.workers.values()].filter(({ tasks }) => tasks.size > 0).length;
 }
 
-function ownersOf(cluster: Cluster): Set<string> {
-  return new Set(labels.map((_, block) => cluster.block(block).owner));
-}
-
 /** A job of which tasks run on machines that the controller does not own. */
 function jobOfOthers(cluster: Cluster, ids: string[], label: string): string {
   const others = labels.map((_, block) => cluster.block(block)).filter(({ owner }) => owner !== label);
@@ -60,7 +56,7 @@
     cluster.stopController(leader);
     cluster.stopController(other);
     assert.equal(await cluster.cancelSurely(cancelled, [labels.indexOf(alone)]), 'cancelled');
-    await cluster.until('it has all blocks', () => ownersOf(cluster).size === 1, cancelMs);
+    await cluster.until('it has all blocks', () => new Set(cluster.owners()).size === 1, cancelMs);
     await cluster.until(
       'nothing of the job is left',
       () => cluster.runningOf(cancelled).length === 0,
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -39,10 +39,6 @@
   return Math.max(...[...cluster.store.keys.values()].map(({ value }) => sizeOf(value)));
 }
 
-function ownersOf(cluster: Cluster): string[] {
-  return labels.map((_, block) => cluster.block(block).owner);
-}
-
 function hasUpgradedEverywhere(cluster: Cluster): boolean {
   return labels.every((label) => cluster.store.value(`formats/${label}`) !== undefined);
 }
@@ -76,7 +72,7 @@
     ids.push(...(await submitSmall(cluster, 50, 2, 100)));
     await pause(4 * reportMs);
     cluster.stopController(second);
-    await cluster.until('its block has another owner', () => !ownersOf(cluster).includes(second));
+    await cluster.until('its block has another owner', () => !cluster.owners().includes(second));
     await pause(4 * reportMs);
     cluster.startController(second);
     // One that dies before its turn.
--- a/src/intake/job-canceller.ts
+++ b/src/intake/job-canceller.ts
@@ -2,9 +2,9 @@
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
 import type { Entry, Mirror } from '../store/mirror.js';
-import { cancellation, changesPerEnd } from '../dependencies/cascade.js';
 import type { JobIndex } from '../placement/job-index.js';
 import type { Settings } from '../settings/settings.js';
+import { type EndTransaction, changesPerEnd, endTransaction } from '../wire/end-transaction.js';
 import { parseJobRecord } from '../wire/job-records.js';
 import { endKey, jobKey } from '../wire/keys.js';
 import type { JobStatusReader, JobStatusResult } from './job-status.js';
@@ -65,9 +65,9 @@
   }
 
   private async attempt(id: string, record: Entry, withDependents: boolean): Promise<Attempt> {
-    const { mirror, writes, wallClock } = this.ports;
+    const { mirror, writes } = this.ports;
     const tasks = parseJobRecord(record.value)?.spec.tasks ?? 0;
-    const own = cancellation(id, record.version, tasks, wallClock());
+    const own = this.cancellation(id, record.version, tasks);
     const all = [own, ...(withDependents ? this.cancellationsOfDependents(id) : [])];
     const outcome = await writes.commit(
       all.flatMap(({ conditions }) => conditions),
@@ -82,16 +82,20 @@
     return outcome.failed.includes(endKey(id)) ? 'gone' : 'changed';
   }
 
+  private cancellation(id: string, jobVersion: number, tasks: number): EndTransaction {
+    return endTransaction(id, jobVersion, { end: 'cancelled', tasks, at: this.ports.wallClock() });
+  }
+
   /** As many of the jobs that need this one as the transaction has room for; the cascade cancels the others. */
-  private cancellationsOfDependents(id: string): ReturnType<typeof cancellation>[] {
-    const { jobIndex, settings, wallClock } = this.ports;
+  private cancellationsOfDependents(id: string): EndTransaction[] {
+    const { jobIndex, settings } = this.ports;
     const room = Math.floor(settings.state.txnOps / changesPerEnd) - 1;
     return jobIndex.dependencies
       .closure(id)
       .slice(0, room)
       .flatMap((dependent) => {
         const job = jobIndex.openJob(dependent);
-        return job ? [cancellation(dependent, job.version, job.spec.tasks, wallClock())] : [];
+        return job ? [this.cancellation(dependent, job.version, job.spec.tasks)] : [];
       });
   }
 }
--- a/src/intake/job-status.ts
+++ b/src/intake/job-status.ts
@@ -3,7 +3,7 @@
 import type { Mirror } from '../store/mirror.js';
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import { type End, parseEnd, parseJobRecord } from '../wire/job-records.js';
+import { type End, parseJobRecord } from '../wire/job-records.js';
 import { endKey, jobKey } from '../wire/keys.js';
 import type { Condition } from '../wire/state.js';
 import type { EndReader } from './end-reader.js';
@@ -66,7 +66,7 @@
 
   /** The end of the job, where this controller knows it. An end never changes, so it needs no further evidence. */
   knownEnd(id: string): EndedJob | undefined {
-    const record = parseEnd(this.ports.mirror.get(endKey(id))?.value);
+    const record = this.ports.mirror.endOf(id);
     return record && { kind: 'ended', end: record.end, tasks: record.tasks };
   }
 
--- a/src/placement/block-state.ts
+++ b/src/placement/block-state.ts
@@ -5,12 +5,12 @@
 import type { Mirror } from '../store/mirror.js';
 import type { BlockRecord, Shares } from '../wire/block-records.js';
 import { parseEnd, parseJobRecord } from '../wire/job-records.js';
-import { endKey, endedJob } from '../wire/keys.js';
+import { endedJob } from '../wire/keys.js';
 import type { LedgerEntry } from '../wire/ledger-records.js';
 import type { Change } from '../wire/state.js';
 import { MachineState } from '../workers/machine-state.js';
 import { type Reconciliation, reconcile } from '../workers/reconcile.js';
-import { JobState, type JobFacts, type Task } from './job-state.js';
+import { type JobPlace, JobState, type Task } from './job-state.js';
 import { Ledger } from './ledger.js';
 import { chunkTasksOf } from './ledger-entries.js';
 import { type StoredPage, layoutFor, newestEntries, storedPages } from './stored-pages.js';
@@ -80,7 +80,7 @@
     for (const [key, entry] of mirror.below('job/')) this.setJob(key, entry.value, entry.version);
     this.loadLedger(pages);
     for (const job of this.jobs.values()) {
-      const end = parseEnd(mirror.get(endKey(job.id))?.value);
+      const end = mirror.endOf(job.id);
       if (end) this.endJob(job, end.end);
     }
   }
@@ -359,7 +359,7 @@
     return this.layout.inherited ? Infinity : this.layout.chunkTasks;
   }
 
-  private get place(): Pick<JobFacts, 'block' | 'perChunk' | 'sizedEntries' | 'ledger'> {
+  private get place(): JobPlace {
     const { block, ledger, layout } = this;
     return { block, ledger, perChunk: layout.chunkTasks, sizedEntries: !layout.inherited };
   }
--- a/src/placement/job-completion.ts
+++ b/src/placement/job-completion.ts
@@ -1,17 +1,14 @@
 /** Ends the jobs of a block whose tasks are all done. */
-import { sleep } from '../base/clock.js';
-import type { Clock } from '../base/clock.js';
+import { type Clock, sleep } from '../base/clock.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import { endRecord } from '../wire/job-records.js';
-import { endKey, jobKey } from '../wire/keys.js';
+import { changesPerEnd, endTransaction } from '../wire/end-transaction.js';
 import type { BlockState } from './block-state.js';
 import type { JobIndex } from './job-index.js';
 import type { JobState } from './job-state.js';
 
 /** So many seconds of a controller's even share of the changes may be under way as ends. */
 const endingS = 2;
-const changesPerEnd = 2;
 
 export interface JobCompletionPorts {
   clock: Clock;
@@ -76,14 +73,9 @@
     job.ending = true;
     this.ending++;
     const tasks = job.spec?.tasks ?? job.doneCount;
-    const end = endRecord({ end: 'done', tasks, at: this.ports.wallClock() });
-    const outcome = await commits.commit(
-      [
-        { key: endKey(job.id), version: 0 },
-        { key: jobKey(job.id), version: job.version },
-      ],
-      [{ put: endKey(job.id), value: end }, { drop: jobKey(job.id) }],
-    );
+    const end = { end: 'done', tasks, at: this.ports.wallClock() } as const;
+    const { conditions, writes } = endTransaction(job.id, job.version, end);
+    const outcome = await commits.commit(conditions, writes);
     if (outcome.kind === 'applied') blockState.endJob(job, 'done');
     this.ending--;
     // Ended already, by this commit after all, by another block's owner or by a user: the watch tells which.
--- a/src/placement/job-index.ts
+++ b/src/placement/job-index.ts
@@ -1,6 +1,7 @@
 import { type DependencyState, DependencyGraph } from '../dependencies/dependency-graph.js';
 import type { JobSpec, Resources } from '../model/types.js';
 import type { Mirror } from '../store/mirror.js';
+import { groupBy } from '../base/group-by.js';
 import { rangesSize } from '../base/ranges.js';
 import { type EndRecord, type JobRecord, parseEnd, parseJobRecord } from '../wire/job-records.js';
 import { endedJob, parseLedgerKey } from '../wire/keys.js';
@@ -237,13 +238,7 @@
 }
 
 function newestOfEachBlock(entries: Iterable<IndexedEntry>): IndexedEntry[] {
-  const byBlock = new Map<number, IndexedEntry[]>();
-  for (const entry of entries) {
-    const ofBlock = byBlock.get(entry.block);
-    if (ofBlock) ofBlock.push(entry);
-    else byBlock.set(entry.block, [entry]);
-  }
-  return [...byBlock.values()]
+  return [...groupBy(entries, ({ block }) => block).values()]
     .flatMap((ofBlock) => withoutCovered(ofBlock))
     .map((entry) => ({ ...entry, doneCount: rangesSize(entry.done) }));
 }
--- a/src/placement/job-state.ts
+++ b/src/placement/job-state.ts
@@ -1,8 +1,7 @@
 import type { JobSpec, Resources } from '../model/types.js';
 import type { End, Part } from '../wire/job-records.js';
-import type { LedgerEntry } from '../wire/ledger-records.js';
 import { fromRanges, toRanges } from '../base/ranges.js';
-import { compactEntryBytes, entryBytes } from '../wire/ledger-records.js';
+import { type LedgerEntry, compactEntryBytes, entryBytes } from '../wire/ledger-records.js';
 import type { Chunk, Dirt, Ledger, LedgerPage } from './ledger.js';
 
 /**
@@ -40,7 +39,8 @@
   ledger: Ledger;
 }
 
-type JobPlace = Pick<JobFacts, 'block' | 'perChunk' | 'sizedEntries' | 'ledger'>;
+/** Where and how the job is recorded. */
+export type JobPlace = Pick<JobFacts, 'block' | 'perChunk' | 'sizedEntries' | 'ledger'>;
 
 /**
  * What one block has of a job: for most jobs all its tasks, else the ranges that the leader has dispatched to it. Tasks
--- a/src/placement/ledger-writer.ts
+++ b/src/placement/ledger-writer.ts
@@ -1,6 +1,5 @@
 /** Writes the pages of a block's ledger: intents at once, what workers can tell again when there is room for it. */
-import type { Clock } from '../base/clock.js';
-import { sleep } from '../base/clock.js';
+import { type Clock, sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { Settings } from '../settings/settings.js';
 import type { CommitOutcome, StoreClient } from '../store/client.js';
--- a/src/placement/stored-pages.ts
+++ b/src/placement/stored-pages.ts
@@ -1,4 +1,5 @@
 /** A block's ledger as the copy of the store has it. */
+import { groupBy } from '../base/group-by.js';
 import type { Mirror } from '../store/mirror.js';
 import { ledgerPrefix, parseLedgerKey } from '../wire/keys.js';
 import { type LedgerEntry, parseLedgerPage } from '../wire/ledger-records.js';
@@ -27,15 +28,8 @@
 
 /** The entries of all pages without what smaller ones cover. */
 export function* newestEntries(pages: StoredPage[]): Iterable<StoredEntry> {
-  const byJob = new Map<string, StoredEntry[]>();
-  for (const page of pages) {
-    for (const entry of page.entries) {
-      const ofJob = byJob.get(entry.id);
-      if (ofJob) ofJob.push({ entry, page });
-      else byJob.set(entry.id, [{ entry, page }]);
-    }
-  }
-  for (const ofJob of byJob.values()) {
+  const stored = pages.flatMap((page) => page.entries.map((entry) => ({ entry, page })));
+  for (const ofJob of groupBy(stored, ({ entry }) => entry.id).values()) {
     const pageOf = new Map(ofJob.map(({ entry, page }) => [placeOf(entry), page]));
     for (const entry of withoutCovered(ofJob.map((one) => one.entry))) {
       const page = pageOf.get(placeOf(entry));
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -1,6 +1,8 @@
 import { Readable, Writable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
 import { sleep } from '../base/clock.js';
+import { type EndRecord, parseEnd } from '../wire/job-records.js';
+import { endKey } from '../wire/keys.js';
 import type { Change, Item } from '../wire/state.js';
 import type { StoreClient } from './client.js';
 
@@ -55,6 +57,11 @@
     return key.startsWith('end/') ? this.ends.get(key) : this.entries.get(rootOf(key))?.get(key);
   }
 
+  /** The end of the job, where this copy knows it. */
+  endOf(id: string): EndRecord | undefined {
+    return parseEnd(this.get(endKey(id))?.value);
+  }
+
   version(key: string): number {
     return this.get(key)?.version ?? 0;
   }
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -8,15 +8,15 @@
 import { Controller } from '../controller.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
-import { type BlockRecord, parseBlock } from '../wire/block-records.js';
-import { type StoredValue, blockKey, machinesPrefix } from '../wire/keys.js';
+import { type BlockRecord, machinePages, parseBlock } from '../wire/block-records.js';
+import { blockKey, machinesPrefix } from '../wire/keys.js';
 import { check } from './checker.js';
 import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
 import { History, type JobFacts, type Told } from './history.js';
 import { Link } from './link.js';
 import { seeded } from './seeded.js';
 import { settingsJson, testSettings } from './settings.js';
-import { StoreStandIn, storedAt } from './store-standin.js';
+import { StoreStandIn } from './store-standin.js';
 import { WorkerStandIn } from './worker-standin.js';
 
 export const labels = ['keel-0', 'keel-1', 'keel-2'];
@@ -205,15 +205,17 @@
   }
 
   /** A block as the state service has it, with the machines that its pages name. */
-  block(block: number): BlockRecord & { version: number } {
-    const version = this.store.version(blockKey(block));
-    const pages = [...this.store.keys].flatMap(([key, { value, version }]): [number, StoredValue][] => {
-      const prefix = storedAt(machinesPrefix(block));
-      return key.startsWith(prefix) ? [[Number(key.slice(prefix.length)), { value, version }]] : [];
-    });
-    const record = parseBlock(this.store.value(blockKey(block)), version, pages);
+  block(block: number): BlockRecord {
+    const { store } = this;
+    const pages = machinePages(block, store.below(machinesPrefix(block)));
+    const record = parseBlock(store.value(blockKey(block)), store.version(blockKey(block)), pages);
     if (!record) throw new Error(`no block ${block}`);
-    return { ...record, version };
+    return record;
+  }
+
+  /** The owners of all blocks, in their order. */
+  owners(): string[] {
+    return labels.map((_, block) => this.block(block).owner);
   }
 
   /** The controller that a machine's block is leased to. */
@@ -301,12 +303,17 @@
   /** All troubles are over: whatever is accepted and not cancelled comes to its end, and every controller says so. */
   async allDone(ids: string[], withinMs = 25_000): Promise<void> {
     this.calmAt = Date.now();
+    await this.toldEverywhere(ids, 'done', withinMs);
+  }
+
+  /** Every controller says this of each of the jobs. */
+  async toldEverywhere(ids: string[], what: Told, withinMs: number): Promise<void> {
     for (const id of ids) {
       await this.until(
-        `${id} is done for all`,
+        `${id} is ${what} for all`,
         async () => {
           const told = await Promise.all([0, 1, 2].map((node) => this.ask(node, id)));
-          return told.every((what) => what === 'done');
+          return told.every((one) => one === what);
         },
         withinMs,
       );
--- a/src/testing/held-store.ts
+++ b/src/testing/held-store.ts
@@ -3,14 +3,9 @@
 import { type CommitOutcome, StoreUnavailable } from '../store/client.js';
 import { sizeOf } from '../wire/codec.js';
 import { type End, endRecord } from '../wire/job-records.js';
-import { endKey, jobKey } from '../wire/keys.js';
+import { type StoredValue, endKey, jobKey } from '../wire/keys.js';
 import { type Condition, type Item, type ListPage, type Write, writtenKey } from '../wire/state.js';
 
-interface StoredValue {
-  value: unknown;
-  version: number;
-}
-
 /**
  * Executes every request the moment it is sent. Where `holdsAnswers` is set, its answer stays on the way until `release`
  * is called, which is how an answer that was true when it was given becomes old.
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -17,8 +17,9 @@
   lease: number | undefined;
 }
 
-/** Where a key of ours is stored: below the root that the settings of the tests name. */
-export const storedAt = (key: string): string => `sk/${key}`;
+/** The root below which we keep all our keys. */
+const root = 'sk/';
+const storedAt = (key: string): string => `${root}${key}`;
 
 /**
  * A stand-in for the state service, written from the protocol: versions, conditions, grants, watches, limits. Each client
@@ -94,6 +95,13 @@
     return this.keys.get(storedAt(key))?.value;
   }
 
+  /** For assertions: all keys below a prefix of ours, by our names. */
+  *below(prefix: string): Iterable<[string, Stored]> {
+    for (const [key, stored] of this.keys) {
+      if (key.startsWith(storedAt(prefix))) yield [key.slice(root.length), stored];
+    }
+  }
+
   /** The revision of its last change; 0 where there is no such key. */
   version(key: string): number {
     return this.keys.get(storedAt(key))?.version ?? 0;
--- a/src/testing/user-side.ts
+++ b/src/testing/user-side.ts
@@ -9,8 +9,6 @@
 import { CommitStage } from '../store/commit-stage.js';
 import { Mirror } from '../store/mirror.js';
 import { parseMachineTypes } from '../wire/cloud.js';
-import { parseEnd } from '../wire/job-records.js';
-import { endKey } from '../wire/keys.js';
 import type { Item } from '../wire/state.js';
 import { machineType } from './cloud-standin.js';
 import { submission } from './cluster.js';
@@ -62,7 +60,7 @@
     );
     const jobIndex = new JobIndex(
       () => 0,
-      (id) => parseEnd(mirror.get(endKey(id))?.value),
+      (id) => mirror.endOf(id),
     );
     mirror.listen((changes) => jobIndex.apply(changes));
     void mirror.follow(signal);
--- a/src/wire/block-records.ts
+++ b/src/wire/block-records.ts
@@ -1,6 +1,6 @@
 /** The lease of a block: its owner, its machines, and what its teams may use. */
 import { isFields, list, number, text } from './codec.js';
-import type { StoredValue } from './keys.js';
+import { type StoredValue, machinesPrefix } from './keys.js';
 
 /** A machine as its block's record names it. */
 export interface LeasedMachine {
@@ -70,6 +70,16 @@
   return isFields(value) && Array.isArray(value['machines']);
 }
 
+/** The pages of a block's machines by number, from the keys below their prefix. */
+export function machinePages(
+  block: number,
+  entries: Iterable<readonly [string, StoredValue]>,
+): Map<number, StoredValue> {
+  const { length } = machinesPrefix(block);
+  const pages = [...entries].map(([key, entry]): [number, StoredValue] => [Number(key.slice(length)), entry]);
+  return new Map(pages.sort(([a], [b]) => a - b));
+}
+
 /** `pages`: the pages of the block's machines by number. */
 export function parseBlock(
   value: unknown,
