Leases of controllers are renewed on time, also where the state service answers slowly

Each renewal waited for the answer to the one before and for a pause, and the first one for the commit of the controller's key as well. With answers that take 0.6 of the life of a lease (300 of 480 ms there), a lease that had ended once was followed by leases that all ended before their first renewal: no leader for as long as the service was slow.

Mend: renewals go out on time whether or not earlier ones have been answered, the first one at once, over connections of their own, so that questions and commits under way do not hold them up.

Test: every lease ends while answers take 300 ms.

--- a/src/fault-scenarios/leaders.test.ts
+++ b/src/fault-scenarios/leaders.test.ts
@@ -143,3 +143,23 @@
     await cluster.allDone(ids);
   },
 );
+
+// Guards against a cluster that stays without a leader: a renewal waited for the answer to the one before and for what else
+// was on its way, so where answers took more than half the time a lease lives, a lease that had ended was never replaced
+// by one that lasted.
+scenario(
+  'every lease ends while the state service is slow, and somebody leads again for good',
+  { port: 22_240, taskMs: 1000 },
+  async (cluster) => {
+    const { store } = cluster;
+    store.delayMs = reportMs * 1.5;
+    store.endAllLeases();
+    await cluster.leading();
+    const led = cluster.leaderToken();
+    await pause(leaseMs);
+    assert.equal(cluster.leaderToken(), led);
+    store.delayMs = 0;
+    await cluster.submitSurely(submission('req-000001', 3));
+    await cluster.allDone(['req-000001']);
+  },
+);
--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -1,3 +1,4 @@
+import { onAbort } from '../base/aborts.js';
 import { type Clock, sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import type { OperatorSettings } from '../settings/operator.js';
@@ -37,6 +38,8 @@
   readonly ttlMs: number;
   private id: number | undefined;
   private asideUntil = -Infinity;
+  /** Whether a commit of our key is on its way. */
+  private announcing = false;
 
   constructor(private readonly ports: MembershipPorts) {
     this.ttlMs = ports.settings.reportMs * ports.operator.leadership.grantReports;
@@ -58,38 +61,64 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    const { store, log, mirror, settings, clock } = this.ports;
+    const { store, log, clock } = this.ports;
     await sleep(Math.max(0, this.asideUntil - clock()), signal);
     if (signal.aborted) return;
     try {
-      this.id = await store.grant(this.ttlMs);
-      await this.announce(this.id);
-      log.info({ event: 'joined', grant: this.id }, 'joined');
-      while (!signal.aborted) {
-        await sleep(this.ttlMs / renewals, signal);
-        if (signal.aborted || this.id === undefined) return;
-        try {
-          if (!(await store.touch(this.id))) break;
-        } catch (error) {
-          log.debug({ event: 'touch-failed', err: error }, 'grant not renewed');
-          continue;
-        }
-        // A late message of an earlier life may have hung our key on its own grant.
-        const alive = parseAlive(mirror.get(aliveKey(settings.label))?.value);
-        if (!mirror.ready) continue;
-        if (alive?.boot !== this.ports.boot) await this.announce(this.id);
-        await this.announceFormat();
-      }
-      log.info({ event: 'grant-lost', grant: this.id }, 'grant ended');
+      const grant = await store.grant(this.ttlMs);
+      this.id = grant;
+      log.info({ event: 'joined', grant }, 'joined');
+      await this.keep(grant, signal);
+      if (!signal.aborted) log.info({ event: 'grant-lost', grant }, 'grant ended');
     } finally {
       this.id = undefined;
     }
   }
 
+  /**
+   * Until the grant has ended, or was given up. Renewals go out on time whether or not what was sent before has been
+   * answered: where answers take most of a grant's life, waiting for them would cost each grant in turn.
+   */
+  private async keep(grant: number, signal: AbortSignal): Promise<void> {
+    const lost = new AbortController();
+    const stopListening = onAbort(signal, () => lost.abort());
+    void this.announce(grant);
+    while (!lost.signal.aborted && this.id === grant) {
+      void this.renew(grant).then((renewed) => {
+        if (!renewed) lost.abort();
+      });
+      await sleep(this.ttlMs / renewals, lost.signal);
+      this.repeatAnnouncements(grant);
+    }
+    stopListening();
+  }
+
+  /** False once the grant has ended; an attempt without an answer says nothing. */
+  private async renew(grant: number): Promise<boolean> {
+    const { store, log } = this.ports;
+    try {
+      return await store.touch(grant);
+    } catch (error) {
+      log.debug({ event: 'touch-failed', err: error }, 'grant not renewed');
+      return true;
+    }
+  }
+
+  /** A late message of an earlier life may have hung our key on its own grant. */
+  private repeatAnnouncements(grant: number): void {
+    const { mirror, settings, boot } = this.ports;
+    if (!mirror.ready || this.announcing) return;
+    const alive = parseAlive(mirror.get(aliveKey(settings.label))?.value);
+    if (alive?.boot !== boot) void this.announce(grant);
+    void this.announceFormat();
+  }
+
   private async announce(grant: number): Promise<void> {
     const { commits, settings, boot } = this.ports;
     const value: AliveRecord = { boot, zone: settings.zone };
+    this.announcing = true;
     await commits.commit([], [{ put: aliveKey(settings.label), value, lease: grant }]);
+    this.announcing = false;
   }
 
   /** Kept for good: a controller that has run with this format does not come back with an earlier one. */
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -66,6 +66,8 @@
 const watchGapReports = 0.1;
 const requestTimeoutMs = 1500;
 const watchHoldMs = 10_000;
+/** One is open unless answers take longer than the pause between renewals. */
+const renewalSockets = 4;
 const itemsPerPage = 500;
 
 /** What the changes of the state service are spent on. */
@@ -81,6 +83,7 @@
 export class StoreClient {
   private readonly peer: HttpPeer;
   private readonly watchPeer: HttpPeer;
+  private readonly renewalPeer: HttpPeer;
   private readonly requests: Record<Lane, Pacer>;
   private readonly writes: Pacer;
   private readonly writeBurst: number;
@@ -101,6 +104,7 @@
   ) {
     this.peer = new HttpPeer(settings.stateAddress, 6);
     this.watchPeer = new HttpPeer(settings.stateAddress, 1);
+    this.renewalPeer = new HttpPeer(settings.stateAddress, renewalSockets);
     this.requests = {
       intake: new Pacer(1, 1, clock),
       confirm: new Pacer(1, 1, clock),
@@ -277,9 +281,9 @@
 
   /** True: renewed. False: the grant has ended. Throws where nothing is known. */
   async touch(id: number): Promise<boolean> {
-    // Renewals jump the queue: a leader busy with commits must not lose its grant over it.
+    // Renewals jump the queues, also that for a connection: a leader busy with commits must not lose its grant over it.
     this.requests.duty.reserve(1);
-    const answer = await this.send('POST', `${grantPath(id)}/touch`, {});
+    const answer = await this.send('POST', `${grantPath(id)}/touch`, {}, this.renewalPeer);
     if (answer.status === 404) return false;
     if (answer.status !== 200) throw new StoreUnavailable(`touch answered ${answer.status}`);
     return true;
@@ -302,10 +306,10 @@
     return this.send(method, path, body);
   }
 
-  private async send(method: string, path: string, body: unknown): Promise<Answer> {
+  private async send(method: string, path: string, body: unknown, peer = this.peer): Promise<Answer> {
     const sentAt = this.clock();
     try {
-      const answer = await this.peer.exchange(method, path, body, {
+      const answer = await peer.exchange(method, path, body, {
         timeoutMs: requestTimeoutMs,
         signal: this.signal,
       });
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -204,6 +204,11 @@
     return label;
   }
 
+  /** The version of the leader's key, which every term has to itself; 0 while nobody leads. */
+  leaderToken(): number {
+    return this.store.version('lead');
+  }
+
   /** A block as the state service has it, with the machines that its pages name. */
   block(block: number): BlockRecord {
     const { store } = this;
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -267,6 +267,11 @@
     for (const [id, lease] of this.leases) if (lease.endsAt < Date.now()) this.end(id);
   }
 
+  /** As after a standstill that outlasted them all: whatever hangs on them goes. */
+  endAllLeases(): void {
+    for (const id of [...this.leases.keys()]) this.end(id);
+  }
+
   private end(id: number): void {
     this.leases.delete(id);
     const keys = [...this.keys].filter(([, stored]) => stored.lease === id).map(([key]) => key);
