Ledger entries of the earlier layout are not overestimated where tasks complete out of turn

The estimate of an entry in the earlier layout counted both ends of each range of completed tasks like a task of its own, so that an entry with many short ranges was taken for up to half as large again as the room that is set aside for it.

Mend: a range counts once. The estimate stays above the bytes written and within the room set aside, whatever the order of completion (test in codec.test.ts, which fails on the code before).

--- a/src/wire/codec.test.ts
+++ b/src/wire/codec.test.ts
@@ -131,6 +131,28 @@
   }
 });
 
+// Guards against pages that are put off for their size though they have room: each end of a range of completed tasks was
+// counted like a task, so where tasks complete out of turn no task of the page could start until others had completed.
+test('an entry of the earlier layout stays within what is set aside for it, in whatever order its tasks complete', () => {
+  const tasks = 68;
+  const first = 99_000;
+  const base = {
+    ...{ id: 'req-123456', chunk: 999, team: 'a-team-with-a-long-name', cpus: 12.25, accelerators: 1.5 },
+    ...{ memoryGb: 123.75, active: [], waiting: [], done: [] },
+  };
+  const indices = Array.from({ length: tasks }, (_, i) => first + i);
+  const active = indices.map((index): [number, number, string] => [index, 12, 'vm-000231']);
+  const everyOther = active.filter((_, i) => i % 2 === 1);
+  const done = toRanges(indices.filter((_, i) => i % 2 === 0));
+  for (const entry of [
+    { ...base, active },
+    { ...base, active: everyOther, done },
+  ]) {
+    assert.ok(writtenBytes(entry) <= entryBytes(tasks));
+    assert.ok(sizeOf(ledgerPage([entry])) <= writtenBytes(entry));
+  }
+});
+
 test('ranges give back what went in', () => {
   const numbers = [0, 1, 2, 5, 9, 10];
   const ranges = toRanges(numbers);
--- a/src/wire/ledger-records.ts
+++ b/src/wire/ledger-records.ts
@@ -143,7 +143,8 @@
 export function writtenBytes(entry: LedgerEntry): number {
   if (entry.chunkTasks !== undefined) return sizeOf(ledgerEntry(entry)) + 1;
   const { active, waiting, done } = entry;
-  return bytesPerEntry + (active.length + waiting.length + done.length) * bytesPerTask;
+  const doneRanges = done.length / 2;
+  return bytesPerEntry + (active.length + waiting.length + doneRanges) * bytesPerTask;
 }
 
 /** Worst case of a task in a compact entry while it is on no machine, and an entry without its tasks as it mostly is. */
