Tests: controllers' processes and addresses have modules of their own; one name for stored values

The load driver and the cluster of the fault scenarios built the same settings of three controllers, and each had a pause of its own. `Entry` of the mirror was `StoredValue` of wire/keys under another name.

--- a/src/fault-scenarios/close-looks.test.ts
+++ b/src/fault-scenarios/close-looks.test.ts
@@ -92,7 +92,7 @@
       cluster.store.holdsAnswers = holdsAnswersAbout(paused, id);
       const earlier = [cluster.submit(node, submission(id, 1)), cluster.ask(node, id)];
       await answerIsHeld(cluster);
-      cluster.standStill(paused);
+      cluster.processes.pause(paused);
       cluster.store.releaseAnswers();
       await pause(reportMs / 4);
       // Only the answers from before reach it: its watch, its peers and what it asks once it goes on are held back.
@@ -101,7 +101,7 @@
       assert.equal(await cluster.cancelSurely(id, [0, 1]), 'cancelled');
       const later = [cluster.submit(node, submission(id, 1)), cluster.ask(node, id)];
       await pause(reportMs);
-      cluster.goOn(paused);
+      cluster.processes.continue(paused);
       await pause(reportMs);
       cluster.store.held.delete(paused);
       for (const link of cluster.peersOf(paused)) link.heal();
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -76,7 +76,7 @@
     await pause(4 * reportMs);
     cluster.startController(second);
     // One that dies before its turn.
-    cluster.killProcess(third);
+    cluster.processes.kill(third);
     await pause(2 * reportMs);
     cluster.startProcess(third, earlier.program);
     ids.push(...(await submitSmall(cluster, 100, 3, 100)));
@@ -132,7 +132,7 @@
     const nodes = [second, third].map((label) => labels.indexOf(label));
     assert.equal(await cluster.cancelSurely('req-000002', nodes), 'cancelled');
     await cluster.leading(first);
-    cluster.killProcess(third);
+    cluster.processes.kill(third);
     await cluster.until('its tasks are gone', () => cluster.runningOf('req-000002').length === 0, 5000);
     cluster.store.refused.clear();
     await cluster.upgrade(third);
--- a/src/intake/job-canceller.ts
+++ b/src/intake/job-canceller.ts
@@ -1,12 +1,12 @@
 /** Cancels jobs for their users. */
 import type { StoreClient } from '../store/client.js';
 import type { CommitStage } from '../store/commit-stage.js';
-import type { Entry, Mirror } from '../store/mirror.js';
+import type { Mirror } from '../store/mirror.js';
 import type { JobIndex } from '../placement/job-index.js';
 import type { Settings } from '../settings/settings.js';
 import { type EndTransaction, changesPerEnd, endTransaction } from '../wire/end-transaction.js';
 import { parseJobRecord } from '../wire/job-records.js';
-import { endKey, jobKey } from '../wire/keys.js';
+import { type StoredValue, endKey, jobKey } from '../wire/keys.js';
 import type { JobStatusReader, JobStatusResult } from './job-status.js';
 
 export interface CancelPorts {
@@ -49,7 +49,7 @@
    */
   private async attemptRepeatedly(id: string): Promise<Attempt> {
     const { mirror, store } = this.ports;
-    let record: Entry | undefined = mirror.get(jobKey(id));
+    let record: StoredValue | undefined = mirror.get(jobKey(id));
     for (let attempts = 0; attempts < mostAttempts; attempts++) {
       try {
         record ??= await store.read(jobKey(id), 'intake');
@@ -64,7 +64,7 @@
     return 'changed';
   }
 
-  private async attempt(id: string, record: Entry, withDependents: boolean): Promise<Attempt> {
+  private async attempt(id: string, record: StoredValue, withDependents: boolean): Promise<Attempt> {
     const { mirror, writes } = this.ports;
     const tasks = parseJobRecord(record.value)?.spec.tasks ?? 0;
     const own = this.cancellation(id, record.version, tasks);
--- a/src/store/mirror.ts
+++ b/src/store/mirror.ts
@@ -2,15 +2,10 @@
 import { pipeline } from 'node:stream/promises';
 import { sleep } from '../base/clock.js';
 import { type EndRecord, parseEnd } from '../wire/job-records.js';
-import { endKey } from '../wire/keys.js';
+import { type StoredValue, endKey } from '../wire/keys.js';
 import type { Change, Item } from '../wire/state.js';
 import type { StoreClient } from './client.js';
 
-export interface Entry {
-  value: unknown;
-  version: number;
-}
-
 export type ChangeListener = (changes: Change[]) => void;
 
 /** What is listed at start. Ends are not: there is one for every job that ever was, so they are read on demand. */
@@ -20,8 +15,8 @@
 /** A copy of the store's keys that lags a little behind it. Nothing a user is told rests on it alone. */
 export class Mirror {
   /** By the first part of the key, so that a duty finds its own without walking all. */
-  private entries = new Map<string, Map<string, Entry>>();
-  private ends = new Map<string, Entry>();
+  private entries = new Map<string, Map<string, StoredValue>>();
+  private ends = new Map<string, StoredValue>();
   private at = 0;
   private since: number | undefined;
   private readonly listeners = new Set<ChangeListener>();
@@ -53,7 +48,7 @@
     return size;
   }
 
-  get(key: string): Entry | undefined {
+  get(key: string): StoredValue | undefined {
     return key.startsWith('end/') ? this.ends.get(key) : this.entries.get(rootOf(key))?.get(key);
   }
 
@@ -66,7 +61,7 @@
     return this.get(key)?.version ?? 0;
   }
 
-  *below(prefix: string): Iterable<[string, Entry]> {
+  *below(prefix: string): Iterable<[string, StoredValue]> {
     for (const pair of this.entries.get(rootOf(prefix)) ?? []) if (pair[0].startsWith(prefix)) yield pair;
   }
 
@@ -74,7 +69,7 @@
    * What we learned of an end other than by the watch; ends never change, so it may be kept. The listeners hear of it at
    * once: the watch may not come again for as long as an outage lasts, and a user may have been told by then.
    */
-  learnEnd(key: string, { value, version }: Entry): void {
+  learnEnd(key: string, { value, version }: StoredValue): void {
     this.learnEnds([{ key, value, version }]);
   }
 
@@ -88,7 +83,7 @@
    * What we have just committed ourselves: it need not wait for the watch to bring it. Where the watch was quicker, it
    * may have brought the end of it, too.
    */
-  learn(key: string, entry: Entry): void {
+  learn(key: string, entry: StoredValue): void {
     if (this.ready && entry.version > this.at) this.apply([{ key, ...entry, deleted: false }], this.at);
   }
 
@@ -113,7 +108,7 @@
   }
 
   private async load(): Promise<void> {
-    const entries = new Map<string, Map<string, Entry>>();
+    const entries = new Map<string, Map<string, StoredValue>>();
     const listedAt = new Map<string, number>();
     for (const prefix of listedPrefixes) {
       const { items, revision } = await this.client.list(prefix);
@@ -133,7 +128,7 @@
    * What this controller committed after the keys were listed is missing from the list, and not deleted: it stays. Had it
    * been deleted since, the watch, which goes on from the lists' revision, would say so.
    */
-  private keepNewer(listed: Map<string, Map<string, Entry>>, prefix: string, revision: number): void {
+  private keepNewer(listed: Map<string, Map<string, StoredValue>>, prefix: string, revision: number): void {
     for (const [key, entry] of this.below(prefix)) {
       const listedVersion = listed.get(rootOf(key))?.get(key)?.version ?? 0;
       if (entry.version > Math.max(revision, listedVersion)) put(listed, key, entry);
@@ -172,7 +167,7 @@
     this.notify(fresh);
   }
 
-  private keepEnd(key: string, entry: Entry): void {
+  private keepEnd(key: string, entry: StoredValue): void {
     this.ends.set(key, entry);
     if (this.ends.size > endsKept) {
       const oldest = this.ends.keys().next();
@@ -191,18 +186,18 @@
   return slash < 0 ? key : key.slice(0, slash);
 }
 
-function put(entries: Map<string, Map<string, Entry>>, key: string, entry: Entry): void {
+function put(entries: Map<string, Map<string, StoredValue>>, key: string, entry: StoredValue): void {
   const root = rootOf(key);
   const below = entries.get(root);
   if (below) below.set(key, entry);
   else entries.set(root, new Map([[key, entry]]));
 }
 
-function flat(entries: Map<string, Map<string, Entry>>): Map<string, Entry> {
+function flat(entries: Map<string, Map<string, StoredValue>>): Map<string, StoredValue> {
   return new Map([...entries.values()].flatMap((below) => [...below]));
 }
 
-function differences(before: Map<string, Entry>, after: Map<string, Entry>): Change[] {
+function differences(before: Map<string, StoredValue>, after: Map<string, StoredValue>): Change[] {
   const changes: Change[] = [];
   for (const [key, entry] of after) {
     if (before.get(key)?.version !== entry.version) changes.push({ key, ...entry, deleted: false });
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,7 +1,3 @@
-import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { HttpPeer, type Answer } from '../base/http.js';
 import { createLog } from '../base/log.js';
@@ -12,15 +8,17 @@
 import { blockKey, machinesPrefix } from '../wire/keys.js';
 import { check } from './checker.js';
 import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
+import { ControllerProcesses } from './controller-processes.js';
 import { History, type JobFacts, type Told } from './history.js';
 import { Link } from './link.js';
 import { seeded } from './seeded.js';
 import { settingsJson, testSettings } from './settings.js';
 import { StoreStandIn } from './store-standin.js';
+import { type Addresses, applyAddresses, labels, zones } from './three-controllers.js';
 import { WorkerStandIn } from './worker-standin.js';
 
-export const labels = ['keel-0', 'keel-1', 'keel-2'];
-const zones = ['a', 'b', 'b'];
+export { labels };
+
 /** The times of the workers, by the settings' names. */
 export interface WorkerTimes {
   report_s: number;
@@ -74,7 +72,7 @@
   readonly chunkTasks = new Map<number, number>();
   private calmAt = Date.now();
   private readonly running = new Map<string, AbortController>();
-  private readonly processes = new Map<string, { child: ChildProcess; directory: string }>();
+  readonly processes = new ControllerProcesses();
   private readonly users: HttpPeer[];
   private readonly links = new Map<string, Link>();
   private readonly random: () => number;
@@ -135,33 +133,16 @@
 
   /** The program as it is deployed, but for its bundling. */
   startProcess(label: string, program = mainModule): void {
-    const directory = mkdtempSync(join(tmpdir(), 'shalekeel-'));
-    const path = join(directory, 'settings.json');
-    writeFileSync(
-      path,
+    this.processes.start(
+      label,
+      program,
       settingsJson((file) => this.adapt(file, label)),
     );
-    const env = { ...process.env, LOG_LEVEL: process.env['LOG_LEVEL'] ?? 'error' };
-    const child = spawn(process.execPath, [program, '--config', path], { stdio: 'inherit', env });
-    this.processes.set(label, { child, directory });
-  }
-
-  /** The process of a controller stands still: what is sent to it waits, and its clock runs on. */
-  standStill(label: string): void {
-    this.processes.get(label)?.child.kill('SIGSTOP');
-  }
-
-  /** Killed with no signal that it could heed. */
-  killProcess(label: string): void {
-    const running = this.processes.get(label);
-    running?.child.kill('SIGKILL');
-    if (running) rmSync(running.directory, { recursive: true, force: true });
-    this.processes.delete(label);
   }
 
   /** The controller ends, whatever it runs as, and comes back as this version. */
   async upgrade(label: string, afterMs = 300): Promise<void> {
-    this.killProcess(label);
+    this.processes.kill(label);
     this.stopController(label);
     await pause(afterMs);
     this.startController(label);
@@ -177,10 +158,6 @@
     });
   }
 
-  goOn(label: string): void {
-    this.processes.get(label)?.child.kill('SIGCONT');
-  }
-
   /** As with no signal: nothing is said to anybody, its connections end. */
   stopController(label: string): void {
     this.running.get(label)?.abort();
@@ -348,10 +325,7 @@
 
   stop(): void {
     for (const stop of this.running.values()) stop.abort();
-    for (const { child, directory } of this.processes.values()) {
-      child.kill('SIGKILL');
-      rmSync(directory, { recursive: true, force: true });
-    }
+    this.processes.killAll();
     for (const worker of this.workers.values()) worker.end();
     for (const user of this.users) user.close();
     for (const link of this.links.values()) link.close();
@@ -361,18 +335,7 @@
 
   /** Makes the settings those of one controller of this cluster. */
   private adapt(file: Record<string, unknown>, label: string): void {
-    const { port } = this.options;
-    const index = labels.indexOf(label);
-    const others = labels
-      .map((other, i) => ({
-        label: other,
-        location: zones[i],
-        address: `127.0.0.1:${this.linkPort(index, i)}`,
-      }))
-      .filter((other) => other.label !== label);
-    Object.assign(file, { label, location: zones[index], others });
-    Object.assign(file, { serve_on: this.address(index, 0), back: this.address(index, 1) });
-    file['endpoints'] = { state: `127.0.0.1:${port + index}`, cloud: `127.0.0.1:${port + 5}` };
+    applyAddresses(file, labels.indexOf(label), this.addresses);
     const inner = file['settings'] as Record<string, unknown>;
     inner['workers'] = this.times;
     const { nextLimits } = this.options;
@@ -381,6 +344,17 @@
     inner['cloud'] = { rps: 50, list_lag_s: 0.1 };
   }
 
+  private get addresses(): Addresses {
+    const { port } = this.options;
+    return {
+      serving: (node) => this.address(node, 0),
+      peers: (node) => this.address(node, 1),
+      link: (from, to) => `127.0.0.1:${this.linkPort(from, to)}`,
+      state: (node) => `127.0.0.1:${port + node}`,
+      cloud: `127.0.0.1:${port + 5}`,
+    };
+  }
+
   private async try(node: number, method: string, path: string, body?: unknown): Promise<Answer> {
     return this.user(node, method, path, body).catch(() => ({ status: 0, body: undefined }));
   }
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -10,16 +10,15 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { HttpPeer } from '../base/http.js';
-import { submission } from './cluster.js';
+import { pause, submission } from './cluster.js';
 import { CloudStandIn, type RentedMachine } from './cloud-standin.js';
 import { History } from './history.js';
 import { seeded } from './seeded.js';
 import { settingsJson } from './settings.js';
 import { StoreStandIn } from './store-standin.js';
+import { applyAddresses, labels } from './three-controllers.js';
 import { WorkerStandIn } from './worker-standin.js';
 
-const labels = ['keel-0', 'keel-1', 'keel-2'];
-const zones = ['a', 'b', 'b'];
 const firstPort = 27_000;
 const reportMs = 4000;
 const leaseMs = 20_000;
@@ -42,13 +41,14 @@
 const peerAddress = (node: number): string => `127.0.0.1:${firstPort + 20 + node}`;
 
 function writeSettings(directory: string, node: number): string {
-  const others = labels
-    .map((label, i) => ({ label, location: zones[i], address: peerAddress(i) }))
-    .filter((other) => other.label !== labels[node]);
   const json = settingsJson((file) => {
-    Object.assign(file, { label: labels[node], location: zones[node], others });
-    Object.assign(file, { serve_on: servingAddress(node), back: peerAddress(node) });
-    file['endpoints'] = { state: `127.0.0.1:${firstPort}`, cloud: `127.0.0.1:${firstPort + 5}` };
+    applyAddresses(file, node, {
+      serving: servingAddress,
+      peers: peerAddress,
+      link: (_, to) => peerAddress(to),
+      state: () => `127.0.0.1:${firstPort}`,
+      cloud: `127.0.0.1:${firstPort + 5}`,
+    });
     const inner = file['settings'] as Record<string, unknown>;
     inner['teams'] = [{ name: 'red', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }];
     inner['workers'] = { report_s: reportMs / 1000, lease_s: leaseMs / 1000, cancel_s: 50 };
@@ -79,8 +79,6 @@
   return { cpuS, rssMb: megabytes('VmRSS'), peakMb: megabytes('VmHWM') };
 }
 
-const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 /** Submits jobs at an even rate, and asks for each until it has ended. */
 class Users {
   readonly counts = { accepted: 0, turnedAway: 0, done: 0 };
