On rereading: a controller whose lease has ended does not announce itself with it

The pause between two renewals also ends when the lease does; the key was then written once more with the ended lease, which is refused as malformed and has the operations beside it sent one by one. npm test's files: 240 of 240 in two suites side by side.

--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -88,7 +88,7 @@
         if (!renewed) lost.abort();
       });
       await sleep(this.ttlMs / renewals, lost.signal);
-      this.repeatAnnouncements(grant);
+      if (!lost.signal.aborted && this.id === grant) this.repeatAnnouncements(grant);
     }
     stopListening();
   }
