On rereading: a deadline without a detour, one description of the state service's limits, one start of a chain

The order of work took the time that a job had waited off its deadline and put it back on; the limits that are to come repeated the description of the present ones; two scenarios began a chain with the same lines.

--- a/src/fault-scenarios/chains.test.ts
+++ b/src/fault-scenarios/chains.test.ts
@@ -19,6 +19,13 @@
   return ids;
 }
 
+/** A chain of jobs of one task each, of which the first is on a machine. */
+async function startChain(cluster: Cluster, length: number): Promise<string[]> {
+  const chain = await submitChain(cluster, 1, length, 1);
+  await cluster.until('the first runs', () => cluster.runningOf(idOf(1)).length === 1);
+  return chain;
+}
+
 const startedOf = (cluster: Cluster, id: string): number =>
   cluster.history.happenings.filter((h) => h.kind === 'started' && h.task.startsWith(`${id}/`)).length;
 
@@ -135,8 +142,7 @@
   'the state service is out for longer than a cancellation may take, right after a cancel',
   { port: 28_200, taskMs: 30_000 },
   async (cluster) => {
-    const chain = await submitChain(cluster, 1, 5, 1);
-    await cluster.until('the first runs', () => cluster.runningOf(idOf(1)).length === 1);
+    const chain = await startChain(cluster, 5);
     assert.equal(await cluster.cancelSurely(idOf(1), [1]), 'cancelled');
     cluster.store.down = true;
     const until = Date.now() + cancelMs * 1.3;
@@ -155,8 +161,7 @@
   'a controller is cut from the state service and its peers while a chain is cancelled, and is asked as it comes back',
   { port: 28_240, taskMs: 30_000 },
   async (cluster) => {
-    const chain = await submitChain(cluster, 1, 4, 1);
-    await cluster.until('the first runs', () => cluster.runningOf(idOf(1)).length === 1);
+    const chain = await startChain(cluster, 4);
     cluster.store.held.add('keel-2');
     for (const link of cluster.peersOf('keel-2')) link.cut();
     assert.equal(await cluster.cancelSurely(idOf(1), [0, 1]), 'cancelled');
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -95,20 +95,18 @@
 
   /** Within what times of getting ready its tasks have to start for each of its objectives, shortest first. */
   private windows(spec: JobSpec, { readyAt, endBy }: ChainFacts): number[] {
-    const { estimateS } = spec;
+    const { estimateS, deadlineS } = spec;
     // A deadline counts from the submission, however long the job waited for others.
     const waitedS = (readyAt - spec.acceptedAt) / 1000;
-    const deadlineS = spec.deadlineS === null ? null : spec.deadlineS - waitedS;
     const windows = (this.byClass.get(spec.jobClass) ?? []).flatMap(({ kind, withinS, times }) => {
       if (kind === 'wait' && withinS !== undefined) return [withinS];
       if (kind === 'finished' && withinS !== undefined) return [withinS - estimateS];
-      if (kind === 'deadline' && deadlineS !== null)
-        return [(deadlineS + waitedS) * (times ?? 1) - waitedS - estimateS];
+      if (kind === 'deadline' && deadlineS !== null) return [deadlineS * (times ?? 1) - waitedS - estimateS];
       return [];
     });
     if (endBy !== undefined) windows.push((endBy - readyAt) / 1000 - estimateS);
     // Work that nothing is promised for counts as due when its estimate has passed once over.
-    if (windows.length === 0) windows.push(deadlineS === null ? estimateS : deadlineS - estimateS);
+    if (windows.length === 0) windows.push(deadlineS === null ? estimateS : deadlineS - waitedS - estimateS);
     const telling = windows.filter((windowS) => windowS * 1000 > this.leastMs);
     return (telling.length > 0 ? telling : windows).sort((a, b) => a - b);
   }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -7,6 +7,8 @@
 const name = v.pipe(v.string(), v.nonEmpty());
 const address = v.pipe(v.string(), v.regex(/^[^\s:]+:\d{1,5}$/, 'must be HOST:PORT'));
 
+const stateLimits = v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count });
+
 const schema = v.object({
   label: name,
   location: name,
@@ -39,12 +41,7 @@
       [],
     ),
     workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: v.object({
-      ...{ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count },
-      next: v.nullish(
-        v.partial(v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: count })),
-      ),
-    }),
+    state: v.object({ ...stateLimits.entries, next: v.nullish(v.partial(stateLimits)) }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.object({ cores: positive, mem_mb: positive, max_sockets: count }),
     clock_error_ms: v.optional(amount, 0),
