Tests: a cancelled task runs on past its deadline if no owner of its machine answers twice

Users were told that a job is cancelled, and one of its tasks was still on its machine when the cancel deadline had passed (`ran_cancelled`). In the records, every controller that owned the machine after the cancellation answered exactly one heartbeat of its worker, each time the first one under a new fencing token.

The worker stand-in tells the test when it receives a new token.

--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -93,6 +93,8 @@
   readonly partitionedZones = new Set<string>();
   /** Called when a task completes, before any controller receives a heartbeat that reports the completion. */
   onTaskCompleted: (piece: string) => void = () => undefined;
+  /** Called after a worker has executed the commands of the first answer with a higher fencing token. */
+  onNewFencingToken: (machine: string) => void = () => undefined;
   /**
    * Returns true while the test holds a task. A held task keeps running, so that it cannot end before the
    * test checks for it. The run time of the task counts from its release.
@@ -515,6 +517,7 @@
       history: this.history,
       random: this.random,
       onTaskCompleted: (piece) => this.onTaskCompleted(piece),
+      onNewFencingToken: (machine) => this.onNewFencingToken(machine),
     });
     this.workers.set(id, worker);
     void worker.run();
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -159,6 +159,7 @@
       history,
       random,
       onTaskCompleted: () => undefined,
+      onNewFencingToken: () => undefined,
     });
     workers.set(machine.id, worker);
     void worker.run();
--- a/src/testing/worker-standin.ts
+++ b/src/testing/worker-standin.ts
@@ -40,6 +40,8 @@
   random: () => number;
   /** Called when a task completes, before the worker reports the completion. */
   onTaskCompleted: (piece: string) => void;
+  /** Called after the worker has executed the commands of the first answer with a higher fencing token. */
+  onNewFencingToken: (machine: string) => void;
 }
 
 /** Number of checks for task and lease time-outs in each heartbeat interval. */
@@ -236,9 +238,11 @@
     // A worker that was paused for longer than its lease kills its tasks before it processes the answer.
     this.advance();
     if (fencingToken < this.fencingToken || agentEpoch !== this.agentEpoch) return;
+    const isNewToken = fencingToken > this.fencingToken;
     this.fencingToken = fencingToken;
     this.leaseStartedAt = sentAt;
     for (const command of asList(answer['orders']).filter(isFieldMap)) this.execute(command);
+    if (isNewToken) this.options.onNewFencingToken(this.machine.id);
   }
 
   private execute(command: Fields): void {
