workers: every response that renews a worker's lease stops the reported tasks of ended jobs

Users were told that a job is cancelled, and its tasks ran on past the cancel deadline (`ran_cancelled`).

Cause: the check stood on one path only. A response with status 200 renews the lease of the worker, but only the response to a reconciled heartbeat was checked for tasks of ended jobs. `reconcile` returns before it looks at the reported tasks if the heartbeat is overtaken or does not carry the machine's fencing token yet, and `HeartbeatHandler` answered these two cases with the token and an empty list of commands. A held response whose controller may start nothing any more also left out stops that had become necessary in the meantime. If the owner of a block changes often enough that each owner answers once, the worker's lease never expires and no response stops the task. `HeartbeatResponsePolicy` does not help: it asks whether this controller knows all cancellations, not whether the worker was told.

Fix: one method creates every response with status 200, and adds a stop without grace for each reported task whose job has ended. This works under every fencing token, because the worker executes the commands of exactly those responses that renew its lease, and an outcome never changes. Whether a job has ended is read from the replica: it has an outcome there, or its record is gone although the replica has reached the revision of the token, which is later than the record of every job of which the worker can have a task. If the replica is older than that, the answer is 503 and renews nothing. Tasks of open jobs are stopped only on the evidence of a reconciled heartbeat, as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -272,6 +272,7 @@
       intake: this.intake,
       ownedBlocks: this.ownedBlocks,
       registry: this.state.registry,
+      replica: this.state.replica,
       leader: () => this.election.leader,
       mayStartTasks: () => this.state.replicaFreshness.mayStartTasks(),
       mayAnswerHeartbeats: () => responsePolicy.mayRespond(),
--- a/src/controller/http-service.ts
+++ b/src/controller/http-service.ts
@@ -12,6 +12,7 @@
 import type { Intake } from '../intake/intake.js';
 import type { Settings } from '../settings/settings.js';
 import { HeartbeatHandler } from '../workers/heartbeat-handler.js';
+import type { ReplicatedJobs } from '../workers/job-endings.js';
 
 /**
  * The modules that handle the requests, and the conditions under which heartbeats are answered and tasks are
@@ -24,6 +25,8 @@
   intake: Pick<Intake, 'routes' | 'health'>;
   ownedBlocks: Pick<OwnedBlocks, 'findMachine'>;
   registry: Pick<BlockRegistry, 'ownerOfMachine'>;
+  /** The replica of the store. */
+  replica: ReplicatedJobs;
   /**
    * Returns the label of the leader according to the replica of the store, or undefined if there is no
    * leader.
@@ -92,6 +95,7 @@
       findMachine: (id) => ports.ownedBlocks.findMachine(id),
       ownerOf: (machine) => ports.registry.ownerOfMachine(machine),
       leader: ports.leader,
+      replica: ports.replica,
       mayStartTasks: ports.mayStartTasks,
       mayAnswerHeartbeats: ports.mayAnswerHeartbeats,
       areConnectionsScarce: () => load.isNearLimit,
--- a/src/testing/heartbeat-fixture.ts
+++ b/src/testing/heartbeat-fixture.ts
@@ -2,6 +2,7 @@
 import { silentLog } from '../base/log.js';
 import type { Reply } from '../base/replies.js';
 import type { CommitOutcome } from '../store/transactions.js';
+import { jobKey, type StoredValue } from '../wire/keys.js';
 import {
   HeartbeatHandler,
   type HeartbeatHandlerPorts,
@@ -19,6 +20,8 @@
 /** A block with a handler for the heartbeats of its machines m1 and m2. */
 export interface HeartbeatFixture extends BlockFixture {
   handler: HeartbeatHandler;
+  /** The records and outcomes in the replica of the store: at first, the record of `req-1`. */
+  stored: Map<string, StoredValue>;
   /** All replies so far, in the order in which they were sent. */
   replies: Reply[];
   /** Sends the next heartbeat of the machine, by default with the current fencing token of the machine. */
@@ -47,6 +50,7 @@
     const machine = blockState.machines.get(id);
     return machine && { blockState, scheduler, machine };
   };
+  const stored = new Map<string, StoredValue>([[jobKey('req-1'), { value: {}, version: 3 }]]);
   const handler = new HeartbeatHandler({
     clock: () => 0,
     log: silentLog,
@@ -54,6 +58,7 @@
     findMachine,
     ownerOf: () => undefined,
     leader: () => undefined,
+    replica: { revision: machineToken, get: (key) => stored.get(key) },
     mayStartTasks: () => true,
     mayAnswerHeartbeats: () => true,
     areConnectionsScarce: () => false,
@@ -73,7 +78,7 @@
     const body = { host: machine, watch: 1, tick: ++sequence, helm: fencingToken, pieces };
     handler.handle(body, (reply) => void replies.push(reply));
   };
-  return { ...blockFixture, handler, replies, heartbeat };
+  return { ...blockFixture, handler, stored, replies, heartbeat };
 }
 
 /** Sends all held responses, so that their timers do not keep the test process running. */
--- a/src/workers/heartbeat-commands.ts
+++ b/src/workers/heartbeat-commands.ts
@@ -2,7 +2,7 @@
  * Determines the commands in the response to a heartbeat. If the response is held, its commands may change
  * until it is sent.
  */
-import { taskKey, type WorkerCommand } from '../model/types.js';
+import { type ReportedTask, taskKey, type WorkerCommand } from '../model/types.js';
 import type { Task } from '../placement/job-state.js';
 import type { MachineState } from '../placement/machine-state.js';
 
@@ -84,3 +84,27 @@
     ...commands.filter(({ kind }) => kind !== 'forget'),
   ];
 }
+
+/** Whether the commands contain one that ends the task attempt without a grace period. */
+export function stopsImmediately(commands: readonly WorkerCommand[], task: ReportedTask): boolean {
+  return commands.some(
+    ({ kind, job, index, attempt, graceS = 0 }) =>
+      kind === 'stop' && graceS === 0 && job === task.job && index === task.index && attempt === task.attempt,
+  );
+}
+
+/** Returns the commands, with a command to stop each of the tasks that they do not stop immediately. */
+export function withStops(
+  commands: readonly WorkerCommand[],
+  tasks: readonly ReportedTask[],
+): WorkerCommand[] {
+  const missing = tasks.filter((task) => !stopsImmediately(commands, task));
+  const stops = missing.map(({ job, index, attempt }): WorkerCommand => ({
+    kind: 'stop',
+    job,
+    index,
+    attempt,
+    graceS: 0,
+  }));
+  return [...commands, ...stops];
+}
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -16,7 +16,10 @@
   currentCommands,
   type HeartbeatContext,
   orderForgetsFirst,
+  stopsImmediately,
+  withStops,
 } from './heartbeat-commands.js';
+import { type ReplicatedJobs, tasksByEnding } from './job-endings.js';
 import { LongPolls } from './long-polls.js';
 
 /** A machine of a block that this controller owns. */
@@ -38,6 +41,8 @@
   ownerOf: (machine: string) => string | undefined;
   /** Label of the leader; undefined if unknown. */
   leader: () => string | undefined;
+  /** The replica of the store. */
+  replica: ReplicatedJobs;
   /** Whether the store answers this controller and the replica of the store is recent. */
   mayStartTasks: () => boolean;
   /**
@@ -58,6 +63,7 @@
 type Respond = (reply: Reply) => void;
 
 interface PendingHeartbeat extends HeartbeatContext {
+  readonly heartbeat: Heartbeat;
   readonly scheduler: OwnedMachine['scheduler'];
   readonly respond: Respond;
 }
@@ -84,13 +90,16 @@
  * Sent if another controller owns the machine, or may own it, but the label of that controller is unknown.
  */
 const unknownOwnerReply: Reply = { status: 421, body: redirectResponse(undefined) };
+/** Sent if it is unknown whether the job of a reported task has ended, so that its lease is not renewed. */
+const unknownOutcomeReply = unavailableReply;
 /** Sent if no other controller is known that owns the machine or could assign an owner to it. */
 const noOwnerReply: Reply = { status: 503, body: redirectResponse(undefined) };
 
 /**
  * Answers heartbeats, and redirects workers whose machines this controller does not own. No response starts a
  * task before the intent of the task (the task attempt in the ledger) is committed. Every command is sent
- * under the fencing token under which the command was determined.
+ * under the fencing token under which the command was determined. A response that renews the worker's lease
+ * stops every reported task whose job has ended, also if the heartbeat is not reconciled.
  */
 export class HeartbeatHandler {
   /** The route for the HTTP server. Under overload, heartbeats may wait in the queue of the server. */
@@ -135,15 +144,15 @@
         respond(unknownOwnerReply);
         return;
       case 'stale':
-        respond(commandsReply(machine.fencingToken, commands));
+        respond(this.commandsReply(heartbeat, machine.fencingToken, commands));
         return;
       case 'unreconciled':
         machine.fencingTokenOfferedAt ??= now;
-        respond(commandsReply(machine.fencingToken, commands));
+        respond(this.commandsReply(heartbeat, machine.fencingToken, commands));
         return;
       case 'reconciled':
         machine.fencingTokenOfferedAt = undefined;
-        this.placeAndRespond(owned, commands, respond, now);
+        this.placeAndRespond(heartbeat, owned, commands, respond, now);
     }
   }
 
@@ -154,6 +163,7 @@
    * intents have been committed by the time at which the response is sent.
    */
   private placeAndRespond(
+    heartbeat: Heartbeat,
     { machine, scheduler }: OwnedMachine,
     commands: WorkerCommand[],
     respond: Respond,
@@ -163,6 +173,7 @@
     // `commands` covers only the tasks that are on the machine now, not the tasks that are placed below.
     const tasksAtReceipt = [...machine.tasks.values()].filter(({ phase }) => phase !== 'placing');
     const pending = {
+      heartbeat,
       machine,
       scheduler,
       respond,
@@ -214,10 +225,10 @@
   }
 
   private readonly respondNow = (pending: PendingHeartbeat): void => {
-    const { machine, fencingToken, respond } = pending;
+    const { heartbeat, machine, fencingToken, respond } = pending;
     const now = this.ports.clock();
     const commands = currentCommands(pending, this.mayStillStartTasks(pending, now), now);
-    respond(commandsReply(fencingToken, this.delayForgets(machine, commands, now)));
+    respond(this.commandsReply(heartbeat, fencingToken, this.delayForgets(machine, commands, now)));
   };
 
   /**
@@ -251,6 +262,17 @@
     return orderForgetsFirst(commands);
   }
 
+  /**
+   * Creates every response with status 200. Such a response renews the worker's lease, so it must end the
+   * reported tasks of ended jobs, whether or not the heartbeat is reconciled. The outcome of a job is final,
+   * so these stops are valid under every fencing token.
+   */
+  private commandsReply(heartbeat: Heartbeat, fencingToken: number, commands: WorkerCommand[]): Reply {
+    const { ended, unknown } = tasksByEnding(heartbeat.tasks, this.ports.replica, fencingToken);
+    if (unknown.some((task) => !stopsImmediately(commands, task))) return unknownOutcomeReply;
+    return { status: 200, body: heartbeatResponse(fencingToken, withStops(commands, ended)) };
+  }
+
   /**
    * Runs a step and handles its errors. The HTTP server handles only errors that are thrown in the turn of
    * the event loop in which the heartbeat arrived.
@@ -282,7 +304,3 @@
     return { status: 421, body: redirectResponse(owner) };
   }
 }
-
-function commandsReply(fencingToken: number, commands: WorkerCommand[]): Reply {
-  return { status: 200, body: heartbeatResponse(fencingToken, commands) };
-}
