workers: a held response starts nothing after the lease of its block has ended

A right that had lapsed: a response that waited for the commit of an intent checked the fencing token, the order of heartbeats and the contact with the store, but not whether this controller still owns the block. The state of a block whose lease has ended receives no more outcomes, so the response could contain the start of a task whose job had been cancelled since, and whose cancellation this controller knew. Callers could have seen a task of a cancelled job start. No record or play shows that this happened; it was found by reading the other paths that answer with status 200, and by the property test once it lets leases end.

The response now checks that the controller owns the machine before it starts anything. Without the check, the new test in `heartbeat-handler.test.ts` and the property test fail (`req-1/1 is started`).

--- a/src/testing/heartbeat-fixture.ts
+++ b/src/testing/heartbeat-fixture.ts
@@ -33,6 +33,8 @@
   /** Number of tasks of the job. */
   tasks: number;
   commit?: () => CommitOutcome;
+  /** Whether this controller owns the block. */
+  ownsBlock?: () => boolean;
 }
 
 /**
@@ -42,13 +44,14 @@
 export function createHeartbeatFixture({
   tasks,
   commit,
+  ownsBlock = () => true,
   ...ports
 }: HeartbeatFixtureOptions): HeartbeatFixture {
   const blockFixture = createBlockFixture(commit ?? (() => ({ kind: 'applied', revision: 9 })), { tasks });
   const { blockState, scheduler } = blockFixture;
   const findMachine = (id: string): OwnedMachine | undefined => {
     const machine = blockState.machines.get(id);
-    return machine && { blockState, scheduler, machine };
+    return machine && ownsBlock() ? { blockState, scheduler, machine } : undefined;
   };
   const stored = new Map<string, StoredValue>([[jobKey('req-1'), { value: {}, version: 3 }]]);
   const handler = new HeartbeatHandler({
--- a/src/workers/ended-job-stops.test.ts
+++ b/src/workers/ended-job-stops.test.ts
@@ -115,6 +115,7 @@
   private mayStart = true;
   private mayAnswer = true;
   private isScarce = false;
+  private ownsBlock = true;
   private sequence = 5;
 
   constructor(private readonly random: () => number) {
@@ -124,6 +125,7 @@
       mayStartTasks: () => this.mayStart,
       mayAnswerHeartbeats: () => this.mayAnswer,
       areConnectionsScarce: () => this.isScarce,
+      ownsBlock: () => this.ownsBlock,
     });
     for (const id of jobIds) this.createJob(id, this.pick(jobOrigins));
   }
@@ -133,6 +135,7 @@
       this.mayStart = this.chance(0.8);
       this.mayAnswer = this.chance(0.9);
       this.isScarce = this.chance(0.3);
+      if (!this.ownsBlock) this.regainBlock();
       this.replica.revision = this.chance(0.9) ? Infinity : 0;
       this.sendHeartbeat();
       if (this.chance(0.4)) this.changeSomething();
@@ -147,6 +150,12 @@
     return this.replies.filter((reply) => reply === undefined).length;
   }
 
+  /** A block that is leased to this controller again is loaded from the replica, with all outcomes. */
+  private regainBlock(): void {
+    this.ownsBlock = true;
+    for (const id of jobIds.filter((id) => this.hasEnded(id))) endJob(this.fixture, id);
+  }
+
   private hasEnded(id: string): boolean {
     return !this.fixture.stored.has(jobKey(id));
   }
@@ -219,6 +228,10 @@
       () => {
         this.mayStart = false;
       },
+      () => {
+        this.ownsBlock = false;
+        endJob(this.fixture, this.pick(jobIds), false);
+      },
       () => {
         machine.sequence++;
       },
--- a/src/workers/heartbeat-handler.test.ts
+++ b/src/workers/heartbeat-handler.test.ts
@@ -85,22 +85,29 @@
 describe('a response that waited for a commit starts', () => {
   const start = { verb: 'run', piece: 'req-1/0', try: 1 };
 
+  interface ControllerState {
+    now: number;
+    mayStart: boolean;
+    ownsBlock: boolean;
+  }
+
   /**
    * Sends a heartbeat whose response waits for the commit of an intent, calls `change` during the wait, and
    * returns the commands in the response.
    */
   async function commandsSentAfter(
-    change: (fixture: HeartbeatFixture, clock: { now: number; mayStart: boolean }) => void,
+    change: (fixture: HeartbeatFixture, controller: ControllerState) => void,
   ): Promise<unknown> {
-    const clock = { now: 0, mayStart: true };
+    const controller: ControllerState = { now: 0, mayStart: true, ownsBlock: true };
     const fixture = createHeartbeatFixture({
       tasks: 1,
-      clock: () => clock.now,
-      mayStartTasks: () => clock.mayStart,
+      clock: () => controller.now,
+      mayStartTasks: () => controller.mayStart,
+      ownsBlock: () => controller.ownsBlock,
     });
     fixture.heartbeat('m1');
     assert.equal(fixture.replies.length, 0);
-    change(fixture, clock);
+    change(fixture, controller);
     for (let turn = 0; turn < 5; turn++) await nextEventLoopIteration();
     sendHeldResponses(fixture);
     assert.equal(fixture.replies.length, 1);
@@ -125,10 +132,14 @@
     assert.deepEqual(await commandsSentAfter(decideRelease), []);
   });
 
+  test('nothing after the lease of the block has ended, so that no task of a job cancelled since is started', async () => {
+    assert.deepEqual(await commandsSentAfter((_, controller) => void (controller.ownsBlock = false)), []);
+  });
+
   test('nothing after the time-out of the worker, or if the replica of the store is no longer recent', async () => {
-    assert.deepEqual(await commandsSentAfter((_, clock) => void (clock.now = 4000)), [start]);
-    assert.deepEqual(await commandsSentAfter((_, clock) => void (clock.now = 4001)), []);
-    assert.deepEqual(await commandsSentAfter((_, clock) => void (clock.mayStart = false)), []);
+    assert.deepEqual(await commandsSentAfter((_, controller) => void (controller.now = 4000)), [start]);
+    assert.deepEqual(await commandsSentAfter((_, controller) => void (controller.now = 4001)), []);
+    assert.deepEqual(await commandsSentAfter((_, controller) => void (controller.mayStart = false)), []);
   });
 });
 
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -233,7 +233,8 @@
 
   /**
    * Whether the response may still start tasks, given the changes since the heartbeat arrived. A start
-   * command is sent only under the fencing token with which its intent was committed.
+   * command is sent only under the fencing token with which its intent was committed, and only by the owner of
+   * the block: the state of a block whose lease has ended no longer receives the outcomes of jobs.
    */
   private mayStillStartTasks(pending: PendingHeartbeat, now: number): boolean {
     const { machine, fencingToken, sequence, receivedAt } = pending;
@@ -241,6 +242,7 @@
     // heartbeat to another controller and drops this response.
     const hasTimedOut = now - receivedAt > workerTimeoutMs;
     return (
+      this.ports.findMachine(machine.id)?.machine === machine &&
       machine.fencingToken === fencingToken &&
       machine.sequence === sequence &&
       machine.releaseReason === undefined &&
