workers: log why heartbeats are answered, and what an owner had read when its lease began

- `ended-task-reported`: one line for a heartbeat that reports tasks of ended jobs, if it was not reconciled, was refused, or comes more than a lease after the first such report: result, status, tokens, tasks, whether they are stopped, revision and age of the replica, upper bound of the time left.
At most 100 lines a period.
- `heartbeats`: once per period, how many heartbeats were answered in which way, and the stopped and refused tasks of ended jobs.
- `lease-started`: revision of the lease, revision and age of the replica.
`lease-renewed`: reason and revision.
`term-ended`: how long the controller led.

The reason why a job without a record counts as ended is stated more exactly: an earlier owner started its tasks before the revision of the token, the present one while the record was in its replica.

--- a/src/blocks/lease-renewals.ts
+++ b/src/blocks/lease-renewals.ts
@@ -5,6 +5,7 @@
  */
 import type { Log } from '../base/log.js';
 import type { Settings } from '../settings/settings.js';
+import type { CommitOutcome } from '../store/transactions.js';
 import type { BlockRecord } from '../wire/block-records.js';
 import { leaseBlock } from './block-assignment.js';
 import type { BlockWriter } from './block-writer.js';
@@ -82,7 +83,7 @@
         if (reason === 'new-layout') this.layoutRenewalRevisions.set(block, outcome.revision);
       }
       log.info(
-        { event: 'lease-renewed', block, outcome: outcome.kind },
+        { event: 'lease-renewed', block, reason, outcome: outcome.kind, ...revisionOf(outcome) },
         'renewal of a block lease by its owner finished; if not applied, the owner retries the renewal',
       );
     } finally {
@@ -90,3 +91,7 @@
     }
   }
 }
+
+function revisionOf(outcome: CommitOutcome): { revision?: number } {
+  return outcome.kind === 'applied' ? { revision: outcome.revision } : {};
+}
--- a/src/blocks/owned-blocks.ts
+++ b/src/blocks/owned-blocks.ts
@@ -22,6 +22,8 @@
    * before the block is used.
    */
   incarnation: string;
+  /** Time in ms since the replica of the store was last known to contain all changes of the store. */
+  replicaAgeMs: () => number;
   /** Fires when the controller stops. */
   signal: AbortSignal;
 }
@@ -142,10 +144,17 @@
   private startBlock(block: number, layout: LedgerLayout): OwnedBlock {
     const owned = new OwnedBlock(block, layout, this.ports);
     this.owned.set(block, owned);
-    const jobs = owned.blockState.jobs.size;
-    const { chunkTasks } = layout;
-    this.ports.log.info(
-      { event: 'lease-started', block, jobs, chunkTasks },
+    const { log, registry, replica, replicaAgeMs } = this.ports;
+    log.info(
+      {
+        event: 'lease-started',
+        block,
+        jobs: owned.blockState.jobs.size,
+        chunkTasks: layout.chunkTasks,
+        leaseRevision: registry.blockVersion(block),
+        revision: replica.revision,
+        replicaAgeMs: Math.round(replicaAgeMs()),
+      },
       'lease of a block to this controller started; scheduling its tasks',
     );
     return owned;
--- a/src/controller/block-ownership.ts
+++ b/src/controller/block-ownership.ts
@@ -48,6 +48,7 @@
     store: state.store,
     commits: state.commitQueues.duty,
     replica: state.replica,
+    replicaAgeMs: () => state.replicaFreshness.ageMs,
     registry: state.registry,
     jobIndex: state.jobIndex,
     order: ports.order,
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -11,16 +11,16 @@
 import { CancellationCascade } from '../dependencies/cancellation-cascade.js';
 import type { Intake } from '../intake/intake.js';
 import { Election } from '../leadership/election.js';
-import { HeartbeatResponsePolicy } from '../leadership/heartbeat-response-policy.js';
 import { controllerLeaseTtlMs, Membership } from '../leadership/membership.js';
 import { PeerLinks } from '../peers/peer-links.js';
 import { QueueOrder } from '../placement/queue-order.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
+import type { HeartbeatLog } from '../workers/heartbeat-log.js';
 import { createOwnedBlocks } from './block-ownership.js';
 import { queueLengths } from './commit-queues.js';
 import { Housekeeping } from './housekeeping.js';
-import { HttpService } from './http-service.js';
+import type { HttpService } from './http-service.js';
 import { LeaderDuties } from './leader-duties.js';
 import { MachineEvents } from './machine-events.js';
 import { MachineTypeCatalog } from './machine-type-catalog.js';
@@ -31,6 +31,7 @@
 import { StoreContactMonitor, storeProbeIntervalMs } from './store-contact-monitor.js';
 import { UsageLog } from './usage-log.js';
 import { createIntake } from './user-service.js';
+import { createHeartbeatLog, createHttpService } from './worker-service.js';
 
 const machineTypesRetryMs = 1000;
 /**
@@ -58,6 +59,7 @@
   private readonly membership: Membership;
   private readonly ownedBlocks: OwnedBlocks;
   private readonly machineEvents: MachineEvents;
+  private readonly heartbeatLog: HeartbeatLog;
   private readonly leaderDuties: LeaderDuties;
   private readonly election: Election;
   private readonly cascade: CancellationCascade;
@@ -86,6 +88,7 @@
     this.membership = this.createMembership();
     this.ownedBlocks = this.createOwnedBlocks();
     this.machineEvents = new MachineEvents(clock, () => this.ownedBlocks.blockStates());
+    this.heartbeatLog = createHeartbeatLog({ clock, log, settings, state: this.state });
     this.leaderDuties = this.createLeaderDuties();
     this.election = this.createElection();
     this.cascade = this.createCascade();
@@ -256,26 +259,17 @@
   }
 
   private createHttpService(): HttpService {
-    const responsePolicy = new HeartbeatResponsePolicy({
-      clock: this.clock,
-      times: this.settings,
-      peers: this.settings.peers.map(({ label }) => label),
-      leaseTtlMs: this.leaseTtlMs,
-      changesKnownUntil: () => this.state.replicaFreshness.changesKnownUntil,
-      lastStoreContactAt: () => this.state.store.lastContactAt,
-      lastPeerStatus: (label) => this.peerLinks.lastStatus(label),
-    });
-    return new HttpService({
+    return createHttpService({
       clock: this.clock,
       log: this.log,
       settings: this.settings,
+      state: this.state,
+      heartbeatLog: this.heartbeatLog,
       intake: this.intake,
       ownedBlocks: this.ownedBlocks,
-      registry: this.state.registry,
-      replica: this.state.replica,
-      leader: () => this.election.leader,
-      mayStartTasks: () => this.state.replicaFreshness.mayStartTasks(),
-      mayAnswerHeartbeats: () => responsePolicy.mayRespond(),
+      election: this.election,
+      peerLinks: this.peerLinks,
+      leaseTtlMs: this.leaseTtlMs,
     });
   }
 
@@ -298,6 +292,7 @@
       store: this.state.store,
       queueLengths: () => queueLengths(this.state.commitQueues),
       openJobs: () => this.state.jobIndex.jobs.size,
+      takeHeartbeatCounts: () => this.heartbeatLog.takeCounts(),
       periodMs: this.operator.ladder.adjustmentPeriodS * 1000,
     });
     return new Housekeeping({
--- a/src/controller/http-service.ts
+++ b/src/controller/http-service.ts
@@ -12,6 +12,7 @@
 import type { Intake } from '../intake/intake.js';
 import type { Settings } from '../settings/settings.js';
 import { HeartbeatHandler } from '../workers/heartbeat-handler.js';
+import type { HeartbeatLog } from '../workers/heartbeat-log.js';
 import type { ReplicatedJobs } from '../workers/job-endings.js';
 
 /**
@@ -21,6 +22,7 @@
 export interface HttpServicePorts {
   clock: Clock;
   log: Log;
+  heartbeatLog: Pick<HeartbeatLog, 'record'>;
   settings: Settings;
   intake: Pick<Intake, 'routes' | 'health'>;
   ownedBlocks: Pick<OwnedBlocks, 'findMachine'>;
@@ -91,6 +93,7 @@
     return new HeartbeatHandler({
       clock: ports.clock,
       log: ports.log,
+      heartbeatLog: ports.heartbeatLog,
       label,
       findMachine: (id) => ports.ownedBlocks.findMachine(id),
       ownerOf: (machine) => ports.registry.ownerOfMachine(machine),
--- a/src/controller/replica-freshness.ts
+++ b/src/controller/replica-freshness.ts
@@ -65,7 +65,7 @@
   }
 
   /** Time in ms since the replica was last known to contain all changes of the store. */
-  private get ageMs(): number {
+  get ageMs(): number {
     return this.ports.clock() - this.changesKnownUntil;
   }
 }
--- a/src/controller/usage-log.test.ts
+++ b/src/controller/usage-log.test.ts
@@ -4,7 +4,7 @@
 import { createLog } from '../base/log.js';
 import { UsageLog } from './usage-log.js';
 
-test('store changes, heap memory and queue lengths are logged once per period', () => {
+test('store changes, heap memory, queue lengths and answered heartbeats are logged once per period', () => {
   const lines: Record<string, unknown>[] = [];
   const log = createLog('k0', 'info', {
     write: (line) => void lines.push(JSON.parse(line) as Record<string, unknown>),
@@ -16,6 +16,7 @@
     store: { takeChangeCounts: () => ({ changes: { run: 3 }, refused: 1, conflicts: 2 }) },
     queueLengths: () => ({ duty: 4 }),
     openJobs: () => 5,
+    takeHeartbeatCounts: () => ({ results: { stale: 2 }, stopped: 1, refused: 0, unlogged: 0 }),
     periodMs: 30_000,
   });
   usageLog.logIfDue();
@@ -23,12 +24,13 @@
   usageLog.logIfDue();
   assert.deepEqual(
     lines.map(({ event }) => event),
-    ['store', 'load'],
+    ['store', 'load', 'heartbeats'],
   );
-  const [store, load] = lines;
+  const [store, load, heartbeats] = lines;
   assert.deepEqual([store?.['changes'], store?.['refused'], store?.['conflicts']], [{ run: 3 }, 1, 2]);
   assert.deepEqual([load?.['queued'], load?.['open'], typeof load?.['heapMb']], [{ duty: 4 }, 5, 'number']);
+  assert.deepEqual([heartbeats?.['results'], heartbeats?.['stopped']], [{ stale: 2 }, 1]);
   now = 30_000;
   usageLog.logIfDue();
-  assert.equal(lines.length, 4);
+  assert.equal(lines.length, 6);
 });
--- a/src/leadership/election.ts
+++ b/src/leadership/election.ts
@@ -162,8 +162,9 @@
       signal.removeEventListener('abort', onShutdown);
       term.end({ kind: 'duties-ended' });
       this.currentTerm = undefined;
+      const ledForMs = Math.round(this.ports.clock() - term.startedAt);
       log.info(
-        { event: 'term-ended', fencingToken, reason: term.endReason },
+        { event: 'term-ended', fencingToken, reason: term.endReason, ledForMs },
         'the term as leader has ended; the duties of the leader have stopped',
       );
     }
--- a/src/testing/heartbeat-fixture.ts
+++ b/src/testing/heartbeat-fixture.ts
@@ -8,6 +8,7 @@
   type HeartbeatHandlerPorts,
   type OwnedMachine,
 } from '../workers/heartbeat-handler.js';
+import type { HeartbeatExchange } from '../workers/heartbeat-log.js';
 import { type BlockFixture, createBlockFixture, machineToken } from './block-fixture.js';
 
 /** A task of the job `req-1` as a worker reports it in a heartbeat. */
@@ -22,6 +23,8 @@
   handler: HeartbeatHandler;
   /** The records and outcomes in the replica of the store: at first, the record of `req-1`. */
   stored: Map<string, StoredValue>;
+  /** The answered heartbeats that the handler has passed to its log. */
+  exchanges: HeartbeatExchange[];
   /** All replies so far, in the order in which they were sent. */
   replies: Reply[];
   /** Sends the next heartbeat of the machine, by default with the current fencing token of the machine. */
@@ -54,9 +57,11 @@
     return machine && ownsBlock() ? { blockState, scheduler, machine } : undefined;
   };
   const stored = new Map<string, StoredValue>([[jobKey('req-1'), { value: {}, version: 3 }]]);
+  const exchanges: HeartbeatExchange[] = [];
   const handler = new HeartbeatHandler({
     clock: () => 0,
     log: silentLog,
+    heartbeatLog: { record: (exchange) => void exchanges.push(exchange) },
     label: 'keel-0',
     findMachine,
     ownerOf: () => undefined,
@@ -81,7 +86,7 @@
     const body = { host: machine, watch: 1, tick: ++sequence, helm: fencingToken, pieces };
     handler.handle(body, (reply) => void replies.push(reply));
   };
-  return { ...blockFixture, handler, stored, replies, heartbeat };
+  return { ...blockFixture, handler, stored, exchanges, replies, heartbeat };
 }
 
 /** Sends all held responses, so that their timers do not keep the test process running. */
--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -19,6 +19,7 @@
   stopsImmediately,
   withStops,
 } from './heartbeat-commands.js';
+import type { HeartbeatLog, HeartbeatResult } from './heartbeat-log.js';
 import { type ReplicatedJobs, tasksByEnding } from './job-endings.js';
 import { LongPolls } from './long-polls.js';
 
@@ -33,6 +34,7 @@
 export interface HeartbeatHandlerPorts {
   clock: Clock;
   log: Log;
+  heartbeatLog: Pick<HeartbeatLog, 'record'>;
   /** This controller's label. */
   label: string;
   /** Returns the machine with this id if this controller owns the machine and has a fencing token for it. */
@@ -62,12 +64,19 @@
 
 type Respond = (reply: Reply) => void;
 
-interface PendingHeartbeat extends HeartbeatContext {
+/** A heartbeat that is not answered yet. */
+interface OpenExchange {
   readonly heartbeat: Heartbeat;
-  readonly scheduler: OwnedMachine['scheduler'];
+  /** The machine's fencing token when the heartbeat arrived; undefined if this controller is not its owner. */
+  readonly fencingToken: number | undefined;
   readonly respond: Respond;
 }
 
+interface PendingHeartbeat extends HeartbeatContext, OpenExchange {
+  readonly fencingToken: number;
+  readonly scheduler: OwnedMachine['scheduler'];
+}
+
 /**
  * How long the response to a machine with free resources is held, in heartbeat intervals. `empty` applies to
  * machines without tasks, `busy` to machines with tasks. Both are well below the time-out of workers for a
@@ -128,31 +137,37 @@
       return;
     }
     const owned = this.ports.findMachine(heartbeat.machine);
-    if (!owned) respond(this.redirect(heartbeat.machine));
-    else if (!this.ports.mayAnswerHeartbeats()) respond(unknownOwnerReply);
-    else this.handleOwned(heartbeat, owned, respond);
+    const exchange = { heartbeat, fencingToken: owned?.machine.fencingToken, respond };
+    if (!owned) this.refuse(exchange, 'not-owned', this.redirect(heartbeat.machine));
+    else if (!this.ports.mayAnswerHeartbeats())
+      this.refuse(exchange, 'cancellations-unknown', unknownOwnerReply);
+    else this.handleOwned(exchange, owned);
   }
 
-  private handleOwned(heartbeat: Heartbeat, owned: OwnedMachine, respond: Respond): void {
+  private handleOwned(exchange: OpenExchange, owned: OwnedMachine): void {
     const { machine, blockState } = owned;
-    const { status, commands } = blockState.applyHeartbeat(machine, heartbeat, this.ports.mayStartTasks());
+    const { status, commands } = blockState.applyHeartbeat(
+      machine,
+      exchange.heartbeat,
+      this.ports.mayStartTasks(),
+    );
     const now = this.ports.clock();
     switch (status) {
       case 'outranked':
         // Another controller has leased the machine, but the watch of the store has not yet reported this
         // change.
-        respond(unknownOwnerReply);
+        this.refuse(exchange, status, unknownOwnerReply);
         return;
       case 'stale':
-        respond(this.commandsReply(heartbeat, machine.fencingToken, commands));
+        this.respondWithCommands(exchange, status, machine.fencingToken, commands);
         return;
       case 'unreconciled':
         machine.fencingTokenOfferedAt ??= now;
-        respond(this.commandsReply(heartbeat, machine.fencingToken, commands));
+        this.respondWithCommands(exchange, status, machine.fencingToken, commands);
         return;
       case 'reconciled':
         machine.fencingTokenOfferedAt = undefined;
-        this.placeAndRespond(heartbeat, owned, commands, respond, now);
+        this.placeAndRespond(exchange, owned, commands, now);
     }
   }
 
@@ -163,20 +178,18 @@
    * intents have been committed by the time at which the response is sent.
    */
   private placeAndRespond(
-    heartbeat: Heartbeat,
+    exchange: OpenExchange,
     { machine, scheduler }: OwnedMachine,
     commands: WorkerCommand[],
-    respond: Respond,
     receivedAt: number,
   ): void {
     const { fencingToken, sequence } = machine;
     // `commands` covers only the tasks that are on the machine now, not the tasks that are placed below.
     const tasksAtReceipt = [...machine.tasks.values()].filter(({ phase }) => phase !== 'placing');
     const pending = {
-      heartbeat,
+      ...exchange,
       machine,
       scheduler,
-      respond,
       receivedAt,
       fencingToken,
       sequence,
@@ -225,10 +238,11 @@
   }
 
   private readonly respondNow = (pending: PendingHeartbeat): void => {
-    const { heartbeat, machine, fencingToken, respond } = pending;
+    const { machine, fencingToken } = pending;
     const now = this.ports.clock();
-    const commands = currentCommands(pending, this.mayStillStartTasks(pending, now), now);
-    respond(this.commandsReply(heartbeat, fencingToken, this.delayForgets(machine, commands, now)));
+    const current = currentCommands(pending, this.mayStillStartTasks(pending, now), now);
+    const commands = this.delayForgets(machine, current, now);
+    this.respondWithCommands(pending, 'reconciled', fencingToken, commands);
   };
 
   /**
@@ -265,14 +279,38 @@
   }
 
   /**
-   * Creates every response with status 200. Such a response renews the worker's lease, so it must end the
+   * Sends every response with status 200. Such a response renews the worker's lease, so it must end the
    * reported tasks of ended jobs, whether or not the heartbeat is reconciled. The outcome of a job is final,
    * so these stops are valid under every fencing token.
    */
-  private commandsReply(heartbeat: Heartbeat, fencingToken: number, commands: WorkerCommand[]): Reply {
+  private respondWithCommands(
+    exchange: OpenExchange,
+    result: HeartbeatResult,
+    fencingToken: number,
+    commands: WorkerCommand[],
+  ): void {
+    const { heartbeat, respond } = exchange;
     const { ended, unknown } = tasksByEnding(heartbeat.tasks, this.ports.replica, fencingToken);
-    if (unknown.some((task) => !stopsImmediately(commands, task))) return unknownOutcomeReply;
-    return { status: 200, body: heartbeatResponse(fencingToken, withStops(commands, ended)) };
+    if (unknown.some((task) => !stopsImmediately(commands, task))) {
+      this.refuse(exchange, 'outcome-unknown', unknownOutcomeReply);
+      return;
+    }
+    this.ports.heartbeatLog.record({ heartbeat, result, status: 200, fencingToken, endedJobTasks: ended });
+    respond({ status: 200, body: heartbeatResponse(fencingToken, withStops(commands, ended)) });
+  }
+
+  /** Sends a response that does not renew the worker's lease. */
+  private refuse(
+    { heartbeat, fencingToken, respond }: OpenExchange,
+    result: HeartbeatResult,
+    reply: Reply,
+  ): void {
+    // The token of another owner's lease is unknown here. Then only jobs with an outcome count as ended.
+    const isOwner = fencingToken !== undefined && heartbeat.fencingToken <= fencingToken;
+    const { ended } = tasksByEnding(heartbeat.tasks, this.ports.replica, isOwner ? fencingToken : Infinity);
+    const { status } = reply;
+    this.ports.heartbeatLog.record({ heartbeat, result, status, fencingToken, endedJobTasks: ended });
+    respond(reply);
   }
 
   /**
@@ -287,13 +325,12 @@
     }
   }
 
-  private respondWithError({ machine, respond }: PendingHeartbeat, error: unknown): void {
-    const { log } = this.ports;
-    log.error(
-      { event: 'request-failed', path: heartbeatPath, machine: machine.id, err: error },
+  private respondWithError(pending: PendingHeartbeat, error: unknown): void {
+    this.ports.log.error(
+      { event: 'request-failed', path: heartbeatPath, machine: pending.machine.id, err: error },
       'handling of heartbeat failed; answering with status 503',
     );
-    respond(unavailableReply);
+    this.refuse(pending, 'failed', unavailableReply);
   }
 
   private redirect(machine: string): Reply {
--- a/src/workers/job-endings.ts
+++ b/src/workers/job-endings.ts
@@ -16,10 +16,11 @@
 }
 
 /**
- * Returns whether the job has ended, as far as the replica tells. At least one task of the job must have been
- * started under `fencingToken` or a lower token. The record of the job was then created before the revision
- * `fencingToken`, and it is deleted only together with the commit of the outcome. So if a replica that has
- * reached this revision contains no record, the job has ended.
+ * Returns whether the job of a task on a machine has ended, as far as the replica tells. If the replica
+ * contains neither the record of the job nor its outcome, but has reached the revision `fencingToken` of the
+ * machine's lease, the job has ended: the record was created before the first task was started, and it is
+ * deleted only in the commit of the outcome. An earlier owner started its tasks before the revision
+ * `fencingToken`. The present owner started its tasks while the record was in this replica.
  */
 export function jobEnding(jobs: ReplicatedJobs, id: string, fencingToken: number): JobEnding {
   if (jobs.get(outcomeKey(id)) !== undefined) return 'ended';
@@ -30,8 +31,8 @@
 const noTasks: TasksByEnding = { ended: [], unknown: [] };
 
 /**
- * Returns the tasks that have not ended themselves and whose job has ended, or may have. `fencingToken`: the
- * tasks were started under this token or a lower one.
+ * Returns the tasks that have not ended themselves and whose job has ended, or may have. `fencingToken` is the
+ * token of the machine that reports the tasks.
  */
 export function tasksByEnding(
   tasks: readonly ReportedTask[],
