--- a/src/fault-scenarios/large-fleet.test.ts
+++ b/src/fault-scenarios/large-fleet.test.ts
@@ -3,11 +3,16 @@
  * fleet.
  */
 import assert from 'node:assert/strict';
-import { type Cluster, everyTask, labels, submission, tasksOf } from '../testing/cluster.js';
+import { type Cluster, everyTask, labels, tasksOf } from '../testing/cluster.js';
+import {
+  busyMachineCount,
+  countTaskRestarts,
+  submitJobsForAllMachines,
+  tasksPerFleetJob,
+} from '../testing/fleet.js';
 import { scenario } from '../testing/scenario.js';
 
 const machineCount = 4000;
-const tasksPerJob = 200;
 /**
  * Heartbeat interval, worker lease and cancel deadline in s. They are so long that one process can send and
  * answer the heartbeats of all machines.
@@ -20,32 +25,13 @@
  */
 const maxRestartShare = 0.05;
 const meanTaskMs = 25_000;
-/** Returns the id of the job with this number. */
-const idOf = (i: number): string => `req-${String(i).padStart(6, '0')}`;
-
-/**
- * Submits one task for each machine, in jobs of `tasksPerJob` tasks. Each task takes up a whole machine.
- * Returns the ids of the jobs.
- */
-async function submitJobsForAllMachines(cluster: Cluster): Promise<string[]> {
-  const ids = Array.from({ length: machineCount / tasksPerJob }, (_, i) => idOf(i + 1));
-  for (const [i, id] of ids.entries()) {
-    await cluster.submitUntilAccepted(submission(id, tasksPerJob, { owner: 'blue', cpus: 8 }), i);
-  }
-  return ids;
-}
-
 /**
  * Returns the duration of a task in ms, between 0.8 and 1.2 times the mean. Tasks that are released at the
  * same time therefore do not all end at the same time.
  */
 function staggeredTaskMs(task: string): number {
   const index = Number(task.split('/')[1]);
-  return meanTaskMs * (0.8 + (0.4 * index) / tasksPerJob);
-}
-
-function busyMachineCount(cluster: Cluster): number {
-  return [...cluster.workers.values()].filter(({ tasks }) => tasks.size > 0).length;
+  return meanTaskMs * (0.8 + (0.4 * index) / tasksPerFleetJob);
 }
 
 /** Returns the id of a job with a task that runs on a machine of another controller than `label`. */
@@ -59,14 +45,6 @@
   return found;
 }
 
-/** Returns the number of task starts beyond the first start of each task. */
-function countTaskRestarts(cluster: Cluster): number {
-  const startedTasks = cluster.history.events.flatMap((event) =>
-    event.kind === 'started' ? [event.task] : [],
-  );
-  return startedTasks.length - new Set(startedTasks).size;
-}
-
 // Two of the three controllers stop, so the third one takes over all blocks. Guards against failures that
 // only a large fleet shows: block records and leases exceed the size limit of a value, machines are forgotten
 // or declared silent because one controller has too many of them to serve, and tasks are lost or started
@@ -76,7 +54,7 @@
   { port: 30_000, taskMs: staggeredTaskMs, capacity: machineCount / 2, times },
   async (cluster) => {
     cluster.shouldHoldTask = everyTask;
-    const ids = await submitJobsForAllMachines(cluster);
+    const ids = await submitJobsForAllMachines(cluster, machineCount);
     await cluster.waitUntil(
       '90% of the machines run tasks',
       () => busyMachineCount(cluster) >= 0.9 * machineCount,
@@ -108,8 +86,8 @@
     );
     assert.deepEqual(cluster.store.sizeRefusals, []);
     assert.ok(
-      countTaskRestarts(cluster) < machineCount * maxRestartShare,
-      `${countTaskRestarts(cluster)} tasks were started again`,
+      countTaskRestarts(cluster, ids) < machineCount * maxRestartShare,
+      `${countTaskRestarts(cluster, ids)} tasks were started again`,
     );
   },
 );
