--- a/src/controller/controller.test.ts
+++ b/src/controller/controller.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { after, before, describe, test } from 'node:test';
 
-import { Cluster, submission } from '../testing/cluster.js';
+import { Cluster } from '../testing/cluster.js';
+import { submission } from '../testing/submission.js';
 
 // Runs three controllers against stand-ins of the store, the cloud and the workers. Checks the responses to
 // users, and the guarantees that must hold when parts of the service fail.
--- a/src/fault-scenarios/cancels.test.ts
+++ b/src/fault-scenarios/cancels.test.ts
@@ -11,11 +11,11 @@
   workerLeaseMs,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
   untilStopped,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * Time limit, in ms, for a team to use up its quota. Some tasks may have to wait until the quota is divided
--- a/src/fault-scenarios/dependency-chains.test.ts
+++ b/src/fault-scenarios/dependency-chains.test.ts
@@ -8,11 +8,11 @@
   noTask,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
   untilStopped,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * Upcoming limits of the state service that the settings announce. They are lower than the current limits.
--- a/src/fault-scenarios/late-and-lost-messages.test.ts
+++ b/src/fault-scenarios/late-and-lost-messages.test.ts
@@ -8,10 +8,10 @@
   noTask,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 const taskMs = 700;
 const jobIds = Array.from({ length: 5 }, (_, i) => `req-00000${i}`);
--- a/src/fault-scenarios/leader-failover.test.ts
+++ b/src/fault-scenarios/leader-failover.test.ts
@@ -7,10 +7,10 @@
   noTask,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * Returns the index of a controller in `labels`. The methods of `Cluster` and `WorkerStandIn` take this index
--- a/src/fault-scenarios/mixed-builds.test.ts
+++ b/src/fault-scenarios/mixed-builds.test.ts
@@ -13,13 +13,13 @@
   heartbeatIntervalMs,
   labels,
   pause,
-  submission,
   tasksOf,
   untilStopped,
   workerLeaseMs,
 } from '../testing/cluster.js';
 import { type EarlierBuild, buildCommit } from '../testing/earlier-build.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * The head of the main branch before identifiers in the sources were renamed. This is the last commit that
--- a/src/fault-scenarios/owner-changes.test.ts
+++ b/src/fault-scenarios/owner-changes.test.ts
@@ -1,7 +1,8 @@
 /** Scenarios in which blocks change owners again and again while jobs are cancelled. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Cluster, labels, pause, submission, untilStopped, workerLeaseMs } from '../testing/cluster.js';
+import { Cluster, labels, pause, untilStopped, workerLeaseMs } from '../testing/cluster.js';
+import { submission } from '../testing/submission.js';
 
 /** So few that at least one controller owns no machine of the job. */
 const tasksPerJob = 2;
--- a/src/fault-scenarios/rolling-upgrade.test.ts
+++ b/src/fault-scenarios/rolling-upgrade.test.ts
@@ -14,12 +14,12 @@
   noTask,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
 } from '../testing/cluster.js';
 import { type EarlierBuild, buildCommit, productionCommit } from '../testing/earlier-build.js';
 import { scenario } from '../testing/scenario.js';
 import { jsonSizeBytes } from '../wire/codec.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * Upcoming limits of the state service that the settings announce. They are lower than the current limits.
--- a/src/fault-scenarios/stale-reads.test.ts
+++ b/src/fault-scenarios/stale-reads.test.ts
@@ -9,11 +9,11 @@
   workerLeaseMs,
   pause,
   heartbeatIntervalMs,
-  submission,
   untilStopped,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
 import { seeded } from '../testing/seeded.js';
+import { submission } from '../testing/submission.js';
 
 /**
  * Returns a filter for `StoreStandIn.shouldHoldAnswer`. It matches the transactions of one controller that
--- a/src/fault-scenarios/zones-and-capacity.test.ts
+++ b/src/fault-scenarios/zones-and-capacity.test.ts
@@ -10,10 +10,10 @@
   noTask,
   pause,
   heartbeatIntervalMs,
-  submission,
   tasksOf,
 } from '../testing/cluster.js';
 import { scenario } from '../testing/scenario.js';
+import { submission } from '../testing/submission.js';
 
 /** Waits until a task of the job runs, then fails the machine of this task, which ends all its tasks. */
 async function loseMachine(cluster: Cluster, id: string): Promise<void> {
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -8,13 +8,14 @@
 import { type BlockRecord, machinePages, parseBlock } from '../wire/block-records.js';
 import { blockKey, machinesPrefix } from '../wire/keys.js';
 import { check } from './checker.js';
-import { CloudStandIn, type RentedMachine, machineType } from './cloud-standin.js';
+import { CloudStandIn, type RentedMachine } from './cloud-standin.js';
 import { ControllerProcesses } from './controller-processes.js';
-import { History, type JobRequest, type UserAnswer } from './history.js';
+import { History, type UserAnswer } from './history.js';
 import { Link } from './link.js';
 import { seeded } from './seeded.js';
 import { settingsJson, testSettings } from './settings.js';
 import { StoreStandIn } from './store-standin.js';
+import { requestOf, type Submission } from './submission.js';
 import { type Addresses, applyAddresses, labels, zones } from './three-controllers.js';
 import { WorkerStandIn } from './worker-standin.js';
 
@@ -529,35 +530,6 @@
   }
 }
 
-export type Submission = Record<string, unknown>;
-
-/** Returns the body of a submission for team `red`, in the form of the users' API. */
-export function submission(id: string, tasks: number, change: Submission = {}): Submission {
-  return {
-    id,
-    jobclass: 'batch',
-    owner: 'red',
-    shape: 'sweep',
-    urgency: 'standard',
-    pieces: tasks,
-    cpus: 2.5,
-    accelerators: 0,
-    memoryGb: 4.5,
-    bundle: 'img-1',
-    pullGb: 0.5,
-    hulls: null,
-    berth: null,
-    together: false,
-    apart: false,
-    loaners: false,
-    expectS: 1.5,
-    savepointS: 0,
-    stowS: 0,
-    dueS: null,
-    ...change,
-  };
-}
-
 /** Run time of tasks that run until they are stopped. */
 export const untilStopped = Infinity;
 
@@ -576,25 +548,3 @@
 function statusIn(body: unknown): UserAnswer {
   return (body as { status: UserAnswer }).status;
 }
-
-const submissionFields = Object.keys(submission('', 0));
-
-/**
- * Returns the job that a submission requests, or undefined if the submission lacks a field or requests more
- * CPUs than a machine has.
- */
-function requestOf(job: Submission): JobRequest | undefined {
-  const isComplete = submissionFields.every((field) => field in job);
-  if (!isComplete || Number(job['cpus']) > machineType.cpus) return undefined;
-  return {
-    team: String(job['owner']),
-    tasks: Number(job['pieces']),
-    cpus: Number(job['cpus']),
-    machineTypes: job['hulls'] as string[] | null,
-    zone: job['berth'] as string | null,
-    colocated: job['together'] === true,
-    spread: job['apart'] === true,
-    spot: job['loaners'] === true,
-    dependencies: (job['moorings'] ?? []) as string[],
-  };
-}
--- a/src/testing/fleet.ts
+++ b/src/testing/fleet.ts
@@ -1,5 +1,6 @@
 /** Fills a test cluster with jobs whose tasks take up one machine each. */
-import { type Cluster, submission } from './cluster.js';
+import { type Cluster } from './cluster.js';
+import { submission } from './submission.js';
 
 export const tasksPerFleetJob = 200;
 /** CPUs of a whole machine. */
--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -13,7 +13,7 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { HttpClient } from '../base/http.js';
-import { pause, submission } from './cluster.js';
+import { pause } from './cluster.js';
 import { CloudStandIn, type RentedMachine } from './cloud-standin.js';
 import { History } from './history.js';
 import { seeded } from './seeded.js';
@@ -21,6 +21,7 @@
 import { StoreStandIn } from './store-standin.js';
 import { applyAddresses, labels } from './three-controllers.js';
 import { WorkerStandIn } from './worker-standin.js';
+import { submission } from './submission.js';
 
 const firstPort = 27_000;
 const heartbeatIntervalMs = 4000;
--- a/src/testing/user-api-fixture.ts
+++ b/src/testing/user-api-fixture.ts
@@ -12,9 +12,10 @@
 import { parseMachineTypes } from '../wire/cloud.js';
 import type { Item } from '../wire/state.js';
 import { machineType } from './cloud-standin.js';
-import { submission } from './cluster.js';
+
 import { type InMemoryStore, runPendingCallbacks } from './in-memory-store.js';
 import { testSettings } from './settings.js';
+import { submission } from './submission.js';
 
 const maxQueuedCommits = 100;
 
