workers: responses to heartbeats are sent by a module of their own

The invariant that a response with status 200 stops the tasks of ended jobs now stands in HeartbeatResponder, and the handler is shorter again.

--- a/src/workers/heartbeat-handler.ts
+++ b/src/workers/heartbeat-handler.ts
@@ -5,22 +5,24 @@
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
 import { type FastPathRoute, type Reply, unavailableReply } from '../base/replies.js';
-import type { Heartbeat, WorkerCommand } from '../model/types.js';
+import type { WorkerCommand } from '../model/types.js';
 import type { BlockState } from '../placement/block-state.js';
 import type { MachineState } from '../placement/machine-state.js';
 import type { Scheduler } from '../placement/scheduler.js';
-import { heartbeatResponse, parseHeartbeat, redirectResponse } from '../wire/workers.js';
+import { parseHeartbeat, redirectResponse } from '../wire/workers.js';
 import {
   commandsSinceHeartbeat,
   containsOnlyForgets,
   currentCommands,
   type HeartbeatContext,
   orderForgetsFirst,
-  stopsImmediately,
-  withStops,
 } from './heartbeat-commands.js';
-import type { HeartbeatLog, HeartbeatResult } from './heartbeat-log.js';
-import { type ReplicatedJobs, tasksByEnding } from './job-endings.js';
+import {
+  HeartbeatResponder,
+  type HeartbeatResponderPorts,
+  type OpenExchange,
+  type Respond,
+} from './heartbeat-responder.js';
 import { LongPolls } from './long-polls.js';
 
 /** A machine of a block that this controller owns. */
@@ -31,10 +33,9 @@
 }
 
 /** Dependencies of the heartbeat handler on the rest of the controller. */
-export interface HeartbeatHandlerPorts {
+export interface HeartbeatHandlerPorts extends HeartbeatResponderPorts {
   clock: Clock;
   log: Log;
-  heartbeatLog: Pick<HeartbeatLog, 'record'>;
   /** This controller's label. */
   label: string;
   /** Returns the machine with this id if this controller owns the machine and has a fencing token for it. */
@@ -43,8 +44,6 @@
   ownerOf: (machine: string) => string | undefined;
   /** Label of the leader; undefined if unknown. */
   leader: () => string | undefined;
-  /** The replica of the store. */
-  replica: ReplicatedJobs;
   /** Whether the store answers this controller and the replica of the store is recent. */
   mayStartTasks: () => boolean;
   /**
@@ -62,16 +61,6 @@
   maxCommitWaitMs: number;
 }
 
-type Respond = (reply: Reply) => void;
-
-/** A heartbeat that is not answered yet. */
-interface OpenExchange {
-  readonly heartbeat: Heartbeat;
-  /** The machine's fencing token when the heartbeat arrived; undefined if this controller is not its owner. */
-  readonly fencingToken: number | undefined;
-  readonly respond: Respond;
-}
-
 interface PendingHeartbeat extends HeartbeatContext, OpenExchange {
   readonly fencingToken: number;
   readonly scheduler: OwnedMachine['scheduler'];
@@ -99,16 +88,14 @@
  * Sent if another controller owns the machine, or may own it, but the label of that controller is unknown.
  */
 const unknownOwnerReply: Reply = { status: 421, body: redirectResponse(undefined) };
-/** Sent if it is unknown whether the job of a reported task has ended, so that its lease is not renewed. */
-const unknownOutcomeReply = unavailableReply;
 /** Sent if no other controller is known that owns the machine or could assign an owner to it. */
 const noOwnerReply: Reply = { status: 503, body: redirectResponse(undefined) };
 
 /**
  * Answers heartbeats, and redirects workers whose machines this controller does not own. No response starts a
  * task before the intent of the task (the task attempt in the ledger) is committed. Every command is sent
- * under the fencing token under which the command was determined. A response that renews the worker's lease
- * stops every reported task whose job has ended, also if the heartbeat is not reconciled.
+ * under the fencing token under which the command was determined. `HeartbeatResponder` adds the stops of tasks
+ * whose job has ended.
  */
 export class HeartbeatHandler {
   /** The route for the HTTP server. Under overload, heartbeats may wait in the queue of the server. */
@@ -119,9 +106,11 @@
     handle: (body, respond) => this.handle(body, respond),
   };
   private readonly longPolls: LongPolls;
+  private readonly responder: HeartbeatResponder;
 
   constructor(private readonly ports: HeartbeatHandlerPorts) {
     const minHoldMs = ports.heartbeatIntervalMs * holdHeartbeatIntervals.busy;
+    this.responder = new HeartbeatResponder(ports);
     this.longPolls = new LongPolls(ports.clock, minHoldMs / checksPerHold);
   }
 
@@ -138,9 +127,9 @@
     }
     const owned = this.ports.findMachine(heartbeat.machine);
     const exchange = { heartbeat, fencingToken: owned?.machine.fencingToken, respond };
-    if (!owned) this.refuse(exchange, 'not-owned', this.redirect(heartbeat.machine));
+    if (!owned) this.responder.refuse(exchange, 'not-owned', this.redirect(heartbeat.machine));
     else if (!this.ports.mayAnswerHeartbeats())
-      this.refuse(exchange, 'cancellations-unknown', unknownOwnerReply);
+      this.responder.refuse(exchange, 'cancellations-unknown', unknownOwnerReply);
     else this.handleOwned(exchange, owned);
   }
 
@@ -156,14 +145,14 @@
       case 'outranked':
         // Another controller has leased the machine, but the watch of the store has not yet reported this
         // change.
-        this.refuse(exchange, status, unknownOwnerReply);
+        this.responder.refuse(exchange, status, unknownOwnerReply);
         return;
       case 'stale':
-        this.respondWithCommands(exchange, status, machine.fencingToken, commands);
+        this.responder.sendCommands(exchange, status, machine.fencingToken, commands);
         return;
       case 'unreconciled':
         machine.fencingTokenOfferedAt ??= now;
-        this.respondWithCommands(exchange, status, machine.fencingToken, commands);
+        this.responder.sendCommands(exchange, status, machine.fencingToken, commands);
         return;
       case 'reconciled':
         machine.fencingTokenOfferedAt = undefined;
@@ -242,7 +231,7 @@
     const now = this.ports.clock();
     const current = currentCommands(pending, this.mayStillStartTasks(pending, now), now);
     const commands = this.delayForgets(machine, current, now);
-    this.respondWithCommands(pending, 'reconciled', fencingToken, commands);
+    this.responder.sendCommands(pending, 'reconciled', fencingToken, commands);
   };
 
   /**
@@ -278,41 +267,6 @@
     return orderForgetsFirst(commands);
   }
 
-  /**
-   * Sends every response with status 200. Such a response renews the worker's lease, so it must end the
-   * reported tasks of ended jobs, whether or not the heartbeat is reconciled. The outcome of a job is final,
-   * so these stops are valid under every fencing token.
-   */
-  private respondWithCommands(
-    exchange: OpenExchange,
-    result: HeartbeatResult,
-    fencingToken: number,
-    commands: WorkerCommand[],
-  ): void {
-    const { heartbeat, respond } = exchange;
-    const { ended, unknown } = tasksByEnding(heartbeat.tasks, this.ports.replica, fencingToken);
-    if (unknown.some((task) => !stopsImmediately(commands, task))) {
-      this.refuse(exchange, 'outcome-unknown', unknownOutcomeReply);
-      return;
-    }
-    this.ports.heartbeatLog.record({ heartbeat, result, status: 200, fencingToken, endedJobTasks: ended });
-    respond({ status: 200, body: heartbeatResponse(fencingToken, withStops(commands, ended)) });
-  }
-
-  /** Sends a response that does not renew the worker's lease. */
-  private refuse(
-    { heartbeat, fencingToken, respond }: OpenExchange,
-    result: HeartbeatResult,
-    reply: Reply,
-  ): void {
-    // The token of another owner's lease is unknown here. Then only jobs with an outcome count as ended.
-    const isOwner = fencingToken !== undefined && heartbeat.fencingToken <= fencingToken;
-    const { ended } = tasksByEnding(heartbeat.tasks, this.ports.replica, isOwner ? fencingToken : Infinity);
-    const { status } = reply;
-    this.ports.heartbeatLog.record({ heartbeat, result, status, fencingToken, endedJobTasks: ended });
-    respond(reply);
-  }
-
   /**
    * Runs a step and handles its errors. The HTTP server handles only errors that are thrown in the turn of
    * the event loop in which the heartbeat arrived.
@@ -330,7 +284,7 @@
       { event: 'request-failed', path: heartbeatPath, machine: pending.machine.id, err: error },
       'handling of heartbeat failed; answering with status 503',
     );
-    this.refuse(pending, 'failed', unavailableReply);
+    this.responder.refuse(pending, 'failed', unavailableReply);
   }
 
   private redirect(machine: string): Reply {
