Tests: the owners of the open job's machines change as well

The scenario that open tasks survive the changes of owner restarted only the owners of the cancelled job's machines. It now restarts the owners of the machines that run the open job.

--- a/src/fault-scenarios/owner-changes.test.ts
+++ b/src/fault-scenarios/owner-changes.test.ts
@@ -18,17 +18,18 @@
 }
 
 /**
- * Cancels the job `cancelled` while the owners of its machines are stopped. Until the cancel deadline, each
- * of these workers receives only one answer of every owner: the owner is restarted right after this answer.
+ * Cancels the job `cancelled` while the owners of its machines are stopped. Until the cancel deadline, the
+ * workers with tasks of the job `watchedJob` receive only one answer of every owner of their machines: the
+ * owner is restarted right after this answer.
  */
-async function cancelAsOwnersChange(cluster: Cluster): Promise<void> {
+async function cancelAsOwnersChange(cluster: Cluster, watchedJob: string): Promise<void> {
   for (const [i, id] of [cancelled, open].entries())
     await cluster.submitUntilAccepted(submission(id, tasksPerJob), i);
   await cluster.waitUntil('all tasks run', () =>
     [cancelled, open].every((id) => cluster.runningOf(id).length === tasksPerJob),
   );
-  const watched = new Set(machinesRunning(cluster, cancelled));
-  const owners = new Set([...watched].map((machine) => cluster.ownerOf(machine)));
+  const watched = new Set(machinesRunning(cluster, watchedJob));
+  const owners = new Set(machinesRunning(cluster, cancelled).map((machine) => cluster.ownerOf(machine)));
   const restarting = new Set<string>();
   cluster.onNewFencingToken = (machine) => {
     const owner = cluster.ownerOf(machine);
@@ -44,11 +45,15 @@
   cluster.onNewFencingToken = () => undefined;
 }
 
-async function withOwnerChanges(port: number, check: (cluster: Cluster) => void): Promise<void> {
+async function withOwnerChanges(
+  port: number,
+  watchedJob: string,
+  check: (cluster: Cluster) => void,
+): Promise<void> {
   const cluster = new Cluster({ port, taskMs: untilStopped, capacity: 6, times });
   try {
     await cluster.start();
-    await cancelAsOwnersChange(cluster);
+    await cancelAsOwnersChange(cluster, watchedJob);
     check(cluster);
   } finally {
     cluster.stop();
@@ -56,10 +61,10 @@
 }
 
 test('the tasks of a cancelled job end before the deadline although no owner of their machines answers twice', () =>
-  withOwnerChanges(23_320, (cluster) => assert.deepEqual(cluster.violations(), [])));
+  withOwnerChanges(23_320, cancelled, (cluster) => assert.deepEqual(cluster.violations(), [])));
 
 test('the tasks of an open job keep running although no owner of their machines answers twice', () =>
-  withOwnerChanges(23_360, (cluster) => {
+  withOwnerChanges(23_360, open, (cluster) => {
     const starts = cluster.history.events.filter(
       (event) => event.kind === 'started' && event.task.startsWith(`${open}/`),
     );
