--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule in claim.txt was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: no disruption.
-cd "$(dirname "$0")" && [ -f ../../target/main.js ] || exit 2
-node play
-status=$?
-[ "$status" -le 1 ] || exit 2
-exit "$status"
+# Runs the case; see claim.txt. TROUBLE=0 leaves out the disruption.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+[ -f target/main.js ] || { echo "not built: run the build of the deploy file and review/build-2.sh first"; exit 2; }
+exec node "$here/play"
