Log the decision to release a machine, with what it rests on

The log named a released machine only after the cloud had confirmed the release.

The behaviour is unchanged. In the test of the release log, the new line comes first; the old line is checked as before, and the new one too.

--- a/src/workers/health-monitor.test.ts
+++ b/src/workers/health-monitor.test.ts
@@ -94,8 +94,13 @@
   test('removes the machine and its tasks from the block, and is logged with its reason', async () => {
     const { requests, removed, requeued, logEntries } = await runChecks(silentMachines(1), 1);
     assert.deepEqual([requests, removed, requeued], [[['m0']], ['m0'], 1]);
-    const [{ event, machine, type, reason, tasks } = {}] = logEntries;
+    const [failed = {}, { event, machine, type, reason, tasks } = {}] = logEntries;
     assert.deepEqual([event, machine, type, reason, tasks], ['machine-released', 'm0', 'c8', 'silent', 1]);
+    const { hasSentHeartbeat, silentMs } = failed;
+    assert.deepEqual(
+      [failed['event'], failed['machine'], failed['reason'], hasSentHeartbeat, silentMs],
+      ['machine-failed', 'm0', 'silent', true, 10],
+    );
   });
 
   test('removes nothing from the block and is retried until the cloud has confirmed the termination', async () => {
--- a/src/workers/machine-assessment.ts
+++ b/src/workers/machine-assessment.ts
@@ -1,7 +1,7 @@
 /** Determines from heartbeats and tasks which machines of a block have failed. */
 import type { Log } from '../base/log.js';
 import type { MachineType } from '../model/types.js';
-import type { MachineState } from '../placement/machine-state.js';
+import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import { type FailureDetectionTimes, silentMachines } from './failure-detection.js';
 import { findStragglers } from './straggler-detection.js';
@@ -41,6 +41,27 @@
   for (const machine of silentMachines(unmarkedMachines, now, ports.settings, missedHeartbeats)) {
     machine.releaseReason = 'silent';
   }
+  for (const machine of unmarkedMachines) {
+    if (machine.releaseReason !== undefined) logFailure(machine, machine.releaseReason, now, ports.log);
+  }
+}
+
+/**
+ * Logs the decision to release a machine. The cloud confirms the release later, and may have to be asked
+ * several times.
+ */
+function logFailure(machine: MachineState, reason: ReleaseReason, now: number, log: Log): void {
+  log.info(
+    {
+      event: 'machine-failed',
+      machine: machine.id,
+      reason,
+      tasks: machine.tasks.size,
+      hasSentHeartbeat: machine.hasSentHeartbeat,
+      silentMs: Math.round(now - machine.lastHeartbeatAt),
+    },
+    'machine counts as failed; requesting its release from the cloud',
+  );
 }
 
 function stopStragglers(machine: MachineState, now: number, log: Log): void {
