Let a stored outcome replace one that a peer listed without its time

A status of a peer lists a cancelled job by id and revision. The replica recorded it as an outcome without time and without a number of tasks, and ignored the stored record that the watch or a read delivered later, because its revision is not higher. Such a controller never learned when the job was cancelled, which the limit for machines with tasks of cancelled jobs needs.

The stored record now replaces an outcome without time. The outcome is the same, so listeners are not notified again. The new test of the replica fails without the change (the outcome stays without time); the tests of the folder pass.

--- a/src/store/store-replica.test.ts
+++ b/src/store/store-replica.test.ts
@@ -29,6 +29,34 @@
   assert.equal(replica.revision, 7);
 });
 
+// A peer lists a cancellation without its time, and the store delivers the same outcome later. If the replica
+// kept the outcome without time, this controller would never learn when the job was cancelled.
+test('an outcome that a peer listed without its time is replaced by the stored record, and listeners are notified once', async () => {
+  const listed = { value: { end: 'cancelled', tasks: 0 }, version: 7 };
+  const stored = { value: { end: 'cancelled', tasks: 3, at: 1000 }, version: 7 };
+  const [watched, read] = ['req-1', 'req-2'];
+  const changes = [{ key: `end/${watched}`, ...stored, deleted: false }];
+  let watches = 0;
+  const client = {
+    list: () => Promise.resolve({ items: [], revision: 5 }),
+    watch: () => Promise.resolve(watches++ === 0 ? { changes, revision: 7 } : undefined),
+  };
+  const replica = new StoreReplica(client, 0);
+  const notified: string[] = [];
+  replica.listen((batch) => notified.push(...batch.map(({ key }) => key)));
+  for (const id of [watched, read]) replica.recordOutcome(`end/${id}`, listed);
+  await replica.follow(new AbortController().signal);
+  replica.recordOutcomes([{ key: `end/${read}`, ...stored }]);
+  const complete = { outcome: 'cancelled', tasks: 3, endedAt: 1000 };
+  assert.deepEqual(
+    [watched, read].map((id) => replica.outcomeOf(id)),
+    [complete, complete],
+  );
+  replica.recordOutcome(`end/${read}`, listed);
+  assert.deepEqual(replica.outcomeOf(read), complete);
+  assert.deepEqual(notified, [`end/${watched}`, `end/${read}`]);
+});
+
 // A controller commits a job record. The watch delivers the deletion of the record before the controller adds
 // the record to its replica. If the record were added after that, the job would be treated as open forever.
 test('a committed key is in the replica immediately, unless the watch has delivered its deletion', async () => {
--- a/src/store/store-replica.ts
+++ b/src/store/store-replica.ts
@@ -104,6 +104,7 @@
    */
   recordOutcomes(items: Item[]): void {
     const unrecorded = items.filter(({ key }) => !this.outcomes.has(key));
+    for (const item of items) this.completeOutcome(item);
     for (const { key, value, version } of unrecorded) this.cacheOutcome(key, { value, version });
     this.notify(unrecorded.map((item) => ({ ...item, deleted: false })));
   }
@@ -196,6 +197,7 @@
   private apply(changes: Change[], revision: number): void {
     // If an entry was recorded before the watch delivers it, the listeners have already been notified.
     const newer = changes.filter((change) => change.version > this.version(change.key));
+    for (const change of changes) if (!change.deleted) this.completeOutcome(change);
     for (const change of newer) this.applyChange(change);
     this.appliedRevision = Math.max(this.appliedRevision, revision);
     this.notify(newer);
@@ -208,6 +210,16 @@
     else this.entries.set(key, { value, version });
   }
 
+  /**
+   * Replaces an outcome that was recorded without its time, because a peer listed it, by the stored record.
+   * The outcome itself is the same, so listeners are not notified.
+   */
+  private completeOutcome({ key, value, version }: Item): void {
+    const recorded = this.outcomes.get(key);
+    if (recorded && parseOutcome(recorded.value)?.endedAt === undefined)
+      this.outcomes.set(key, { value, version });
+  }
+
   private cacheOutcome(key: string, entry: StoredValue): void {
     this.outcomes.set(key, entry);
     if (this.outcomes.size <= maxCachedOutcomes) return;
