Release machines with tasks of cancelled jobs before the deadline, whoever owns them

The limit knew nothing of the cancellation and began anew with every owner. The log line of the decision shows silentMs 27503 and hasSentHeartbeat false, 0.9 s after the start of the owner's process and 0.1 s before the end of the tasks; a late start of the owner and a slow cloud are ruled out.

Change: for machines with tasks of cancelled jobs, the limit counts from the cancellation, whose time the outcome contains. No change or restart of the owner moves these limits. A restarted owner reads the outcomes that it lacks. Machines whose owner finds itself partitioned from all workers are included. All other limits are unchanged.

--- a/src/controller/block-ownership.ts
+++ b/src/controller/block-ownership.ts
@@ -62,10 +62,13 @@
   return new HealthMonitor({
     ...block,
     clock: ports.clock,
+    wallClock: Date.now,
     log: ports.log,
     settings,
     operator: ports.operator,
     cloud: ports.cloud,
+    outcomeOf: (jobId) => state.replica.outcomeOf(jobId),
+    readOutcome: (jobId) => state.outcomeReader.read(jobId),
     machineTypes: () => ports.machineTypes.types,
     isStoreReachable: () => state.replicaFreshness.isStoreReachable(),
     // If this controller receives no heartbeats at all, another controller has to take over its blocks to
--- a/src/placement/machine-state.ts
+++ b/src/placement/machine-state.ts
@@ -26,7 +26,7 @@
 }
 
 /** Reason for which the owner of a block releases a machine, i.e. has the cloud terminate it. */
-export type ReleaseReason = 'never-started' | 'one-way-partition' | 'faulty' | 'silent';
+export type ReleaseReason = 'never-started' | 'one-way-partition' | 'faulty' | 'silent' | 'cancelled-task';
 
 /** A task that the machine's heartbeat reports but that is not assigned to the machine. */
 export interface OrphanedTask {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -87,6 +87,8 @@
    * the user.
    */
   cancelDeadlineMs: number;
+  /** Maximum difference between the wall clock of a controller and the true time. */
+  clockErrorMs: number;
   state: StateLimits;
   cloud: { rps: number; listLagMs: number };
   /** Resources that the platform grants to this process. */
@@ -127,6 +129,7 @@
     heartbeatIntervalMs: settings.workers.report_s * 1000,
     workerLeaseMs: settings.workers.lease_s * 1000,
     cancelDeadlineMs: settings.workers.cancel_s * 1000,
+    clockErrorMs: settings.clock_error_ms,
     state: stateLimitsOf(settings.state),
     cloud: { rps: settings.cloud.rps, listLagMs: settings.cloud.list_lag_s * 1000 },
     quota: {
--- /dev/null
+++ b/src/workers/cancelled-tasks.ts
@@ -0,0 +1,89 @@
+/**
+ * Determines by when a machine must be released because tasks of cancelled jobs may still be on it. The limit
+ * counts from the cancellation, so it does not depend on which controller owns the machine, or since when.
+ */
+import { responseWindowMs, type WorkerTimes } from '../leadership/heartbeat-response-policy.js';
+import type { Task } from '../placement/job-state.js';
+import type { MachineState } from '../placement/machine-state.js';
+import type { Settings } from '../settings/settings.js';
+import type { OutcomeRecord } from '../wire/job-records.js';
+
+/** The settings from which the limits are computed, in ms. */
+export type CancellationTimes = WorkerTimes & Pick<Settings, 'clockErrorMs'>;
+
+/** Looks up the recorded outcome of a job; undefined if this controller has not read it. */
+export type OutcomeLookup = (jobId: string) => OutcomeRecord | undefined;
+
+/** Limits for machines with tasks of a cancelled job, in ms. */
+export interface CancelledTaskLimits {
+  /** A machine without recent heartbeats is released when this time has passed since the cancellation. */
+  silentMs: number;
+  /** Any machine is released when this time has passed since the cancellation. */
+  overdueMs: number;
+  /** A machine counts as silent when this time has passed since its latest heartbeat to this owner. */
+  silenceLimitMs: number;
+}
+
+/** The time of a check, and what the check depends on besides the machine. */
+export interface CancelledTaskInputs {
+  /** Monotonic time in ms. */
+  now: number;
+  /** Wall-clock time in ms since the epoch. */
+  wallNow: number;
+  limits: CancelledTaskLimits;
+  outcomeOf: OutcomeLookup;
+}
+
+/**
+ * Part of the time between the expiry of a worker lease and the cancellation deadline that remains after the
+ * latest request for a release. A controller that crashes shortly before the request has time to restart.
+ */
+const releaseMarginRatio = 1 / 4;
+
+/**
+ * Returns the limits for machines with tasks of cancelled jobs.
+ *
+ * A previous owner that does not know the cancellation may answer the machine until `responseWindowMs` after
+ * the cancellation. Until then, and for the time that the machine needs to find its new owner, missing
+ * heartbeats prove nothing. The release before the deadline takes precedence over this wait.
+ */
+export function cancelledTaskLimits(times: CancellationTimes, silenceLimitMs: number): CancelledTaskLimits {
+  const { cancelDeadlineMs, workerLeaseMs, clockErrorMs } = times;
+  const marginMs = (cancelDeadlineMs - workerLeaseMs) * releaseMarginRatio;
+  // The cancellation was recorded by the clock of another controller.
+  const maxClockDifferenceMs = 2 * clockErrorMs;
+  const overdueMs = cancelDeadlineMs - marginMs - maxClockDifferenceMs;
+  const silentMs = Math.min(responseWindowMs(times) + silenceLimitMs, overdueMs);
+  return { silentMs, overdueMs, silenceLimitMs };
+}
+
+/** Whether the machine must be released because of a task of a cancelled job. */
+export function hasOverdueTask(machine: MachineState, inputs: CancelledTaskInputs): boolean {
+  const { now, wallNow, limits, outcomeOf } = inputs;
+  const isSilent = now - machine.lastHeartbeatAt > limits.silenceLimitMs;
+  return endedTasks(machine).some(({ job }) => {
+    const record = outcomeOf(job.id);
+    if (record?.outcome === 'done') return false;
+    // The cancellation may be long past: its record has not been read, or an earlier version wrote no time.
+    if (record?.endedAt === undefined) return isSilent;
+    const cancelledForMs = wallNow - record.endedAt;
+    return cancelledForMs > limits.overdueMs || (isSilent && cancelledForMs > limits.silentMs);
+  });
+}
+
+/**
+ * Returns the ids of ended jobs with tasks on the machine whose outcome has to be read from the store: it is
+ * unknown, or a peer has listed the cancellation without its time.
+ */
+export function jobsWithUnreadOutcome(machine: MachineState, outcomeOf: OutcomeLookup): string[] {
+  const ids = new Set(endedTasks(machine).map(({ job }) => job.id));
+  return [...ids].filter((id) => {
+    const record = outcomeOf(id);
+    return record === undefined || (record.outcome === 'cancelled' && record.endedAt === undefined);
+  });
+}
+
+/** The tasks of ended jobs that are, or may be, on the machine. A task in phase `placing` was never started. */
+function endedTasks({ tasks }: MachineState): Task[] {
+  return [...tasks.values()].filter(({ job, phase }) => job.outcome !== undefined && phase !== 'placing');
+}
--- a/src/workers/health-monitor.test.ts
+++ b/src/workers/health-monitor.test.ts
@@ -6,10 +6,16 @@
 import type { Task } from '../placement/job-state.js';
 import { MachineState } from '../placement/machine-state.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
+import type { OutcomeRecord } from '../wire/job-records.js';
 import { HealthMonitor, type HealthMonitorPorts } from './health-monitor.js';
 
 /** The heartbeat interval is short, so that the health monitor waits only briefly between checks. */
-const settings = { heartbeatIntervalMs: 3, workerLeaseMs: 6000, cancelDeadlineMs: 16_000 };
+const settings = {
+  heartbeatIntervalMs: 3,
+  workerLeaseMs: 6000,
+  cancelDeadlineMs: 16_000,
+  clockErrorMs: 100,
+};
 
 interface MonitorResult {
   /** For each release request to the cloud, the ids of the machines in the request. */
@@ -60,6 +66,9 @@
     operator: defaultOperatorSettings,
     signal: stop.signal,
     machineTypes: () => new Map(),
+    wallClock: () => 0,
+    outcomeOf: () => undefined,
+    readOutcome: () => Promise.resolve(),
     cloud: {
       release: (ids) => {
         result.requests.push(ids);
@@ -140,6 +149,57 @@
   });
 });
 
+describe('a machine with a task of a job that was cancelled long ago', () => {
+  const wallClock = (): number => 1_000_000;
+  const cancelledAt = (at: number): OutcomeRecord => ({ outcome: 'cancelled', tasks: 1, endedAt: at });
+  const withCancelledTasks = (machines: MachineState[]): MachineState[] => {
+    for (const { id, tasks } of machines)
+      tasks.set('req-1/0', {
+        phase: 'placed',
+        machine: id,
+        job: { id: 'req-1', outcome: 'cancelled' },
+      } as unknown as Task);
+    return machines;
+  };
+
+  // Guards against machines that no controller releases: their owner receives no heartbeats, gives up its
+  // blocks, and no other controller is there to take them over.
+  test('is released although no machine sends heartbeats and the controller gives up its blocks', async () => {
+    let now = 0;
+    const { requests, noHeartbeatsCalls } = await runChecks(withCancelledTasks(silentMachines(4)), 1, {
+      clock: () => now,
+      wallClock,
+      outcomeOf: () => cancelledAt(wallClock() - settings.cancelDeadlineMs),
+      isStoreReachable: () => {
+        now += settings.heartbeatIntervalMs * 3;
+        return true;
+      },
+    });
+    assert.deepEqual([requests, noHeartbeatsCalls], [[['m0', 'm1', 'm2', 'm3']], 1]);
+  });
+
+  // Guards against a restarted owner that knows that the job has ended, but never learns since when.
+  test('is released after the outcome of the job, which the replica lacks, has been read', async () => {
+    const outcomes = new Map<string, OutcomeRecord>();
+    const reads: string[] = [];
+    const [machine] = withCancelledTasks(silentMachines(1));
+    assert.ok(machine);
+    machine.hasSentHeartbeat = false;
+    const { requests, logEntries } = await runChecks([machine], 3, {
+      clock: () => 0,
+      wallClock,
+      outcomeOf: (job) => outcomes.get(job),
+      readOutcome: (job) => {
+        reads.push(job);
+        if (reads.length > 1) outcomes.set(job, cancelledAt(0));
+        return Promise.resolve();
+      },
+    });
+    assert.deepEqual([reads, requests], [['req-1', 'req-1'], [['m0']]]);
+    assert.equal(logEntries[0]?.['reason'], 'cancelled-task');
+  });
+});
+
 // Guards against a controller that gives up a block although another controller has already leased the block.
 // While the first controller was partitioned, another controller leased its block. After the partition, the
 // first controller received no heartbeats, but its outdated replica of the store still showed it as the owner
--- a/src/workers/health-monitor.ts
+++ b/src/workers/health-monitor.ts
@@ -3,14 +3,19 @@
  * of machines, with the tasks placed on them, that is leased to one controller.
  */
 import { type Clock, sleep } from '../base/clock.js';
-import type { MachineState } from '../placement/machine-state.js';
+import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
 import { ControllerDelays } from './controller-delays.js';
 import { noHeartbeatsReceived } from './failure-detection.js';
-import { type AssessmentPorts, markFailedMachines } from './machine-assessment.js';
+import {
+  type AssessmentPorts,
+  markFailedMachines,
+  markMachinesWithOverdueTasks,
+} from './machine-assessment.js';
 import { type MachineReleaserPorts, releaseMarkedMachines } from './machine-releaser.js';
+import { MissingOutcomes, type MissingOutcomesPorts } from './missing-outcomes.js';
 
 /** Dependencies of the health monitor on the rest of the controller. */
-export interface HealthMonitorPorts extends AssessmentPorts, MachineReleaserPorts {
+export interface HealthMonitorPorts extends AssessmentPorts, MachineReleaserPorts, MissingOutcomesPorts {
   clock: Clock;
   /** Aborted when the lease of the block ends. */
   signal: AbortSignal;
@@ -34,15 +39,19 @@
 const minReachableHeartbeatIntervals = 2;
 
 /**
- * Releases machines of its block that are silent, do not execute commands, never started, or are faulty. The
- * cloud's response to the release proves that the tasks of these machines no longer run. Delays of this
- * controller itself do not count as silence of the machines. If the store or all workers are unreachable, no
- * machine is released.
+ * Releases machines of its block that are silent, do not execute commands, never started, or are faulty, and
+ * machines on which tasks of cancelled jobs may outlast their deadline. The cloud's response to the release
+ * proves that the tasks of these machines no longer run. Delays of this controller itself do not count as
+ * silence of the machines. If the store is unreachable, no machine is released. If all workers are
+ * unreachable, only machines with tasks of cancelled jobs are released.
  */
 export class HealthMonitor {
   private storeReachableSince = 0;
+  private readonly missingOutcomes: MissingOutcomes;
 
-  constructor(private readonly ports: HealthMonitorPorts) {}
+  constructor(private readonly ports: HealthMonitorPorts) {
+    this.missingOutcomes = new MissingOutcomes(ports);
+  }
 
   /** Checks the machines until the lease of the block ends. */
   async run(): Promise<void> {
@@ -65,12 +74,19 @@
       this.storeReachableSince = clock();
       return;
     }
+    const machines = [...blockState.machines.values()];
+    this.missingOutcomes.read(machines);
     if (this.isPartitionedFromWorkers()) {
       onNoHeartbeats();
-      return;
+      markMachinesWithOverdueTasks(machines, clock(), this.ports);
+      await this.release(this.markedMachines('cancelled-task'), ownDelays);
+    } else {
+      markFailedMachines(machines, clock(), this.ports);
+      await this.release(this.markedMachines(), ownDelays);
     }
-    markFailedMachines(blockState.machines.values(), clock(), this.ports);
-    const marked = this.markedMachines();
+  }
+
+  private async release(marked: MachineState[], ownDelays: ControllerDelays): Promise<void> {
     if (marked.length === 0) return;
     await releaseMarkedMachines(marked, this.ports);
     // The wait for the response of the cloud is not a delay of this controller.
@@ -95,9 +111,10 @@
     return isStoreStable && noHeartbeatsReceived(blockState.machines.values(), clock(), heartbeatIntervalMs);
   }
 
-  private markedMachines(): MachineState[] {
-    return [...this.ports.blockState.machines.values()].filter(
-      ({ releaseReason }) => releaseReason !== undefined,
+  /** Returns the machines to release, or only those with this release reason. */
+  private markedMachines(reason?: ReleaseReason): MachineState[] {
+    return [...this.ports.blockState.machines.values()].filter(({ releaseReason }) =>
+      reason === undefined ? releaseReason !== undefined : releaseReason === reason,
     );
   }
 }
--- a/src/workers/machine-assessment.ts
+++ b/src/workers/machine-assessment.ts
@@ -3,15 +3,25 @@
 import type { MachineType } from '../model/types.js';
 import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
 import type { OperatorSettings } from '../settings/operator.js';
+import {
+  type CancellationTimes,
+  cancelledTaskLimits,
+  hasOverdueTask,
+  type OutcomeLookup,
+} from './cancelled-tasks.js';
 import { type FailureDetectionTimes, silentMachines } from './failure-detection.js';
 import { findStragglers } from './straggler-detection.js';
 
 /** Dependencies of the assessment on the rest of the controller. */
 export interface AssessmentPorts {
   log: Log;
-  settings: FailureDetectionTimes;
+  settings: FailureDetectionTimes & CancellationTimes;
   operator: Pick<OperatorSettings, 'workers'>;
   machineTypes: () => ReadonlyMap<string, MachineType>;
+  /** Wall-clock time in ms since the epoch, by which the times of cancellations are recorded. */
+  wallClock: () => number;
+  /** Looks up outcomes of jobs in the replica of the store. */
+  outcomeOf: OutcomeLookup;
 }
 
 /**
@@ -30,27 +40,53 @@
   now: number,
   ports: AssessmentPorts,
 ): void {
-  const unmarkedMachines = [...machines].filter(({ releaseReason }) => releaseReason === undefined);
+  const { log, operator, settings } = ports;
+  const unmarkedMachines = withoutReleaseReason(machines);
+  const silent = new Set(silentMachines(unmarkedMachines, now, settings, operator.workers.missedHeartbeats));
   for (const machine of unmarkedMachines) {
-    stopStragglers(machine, now, ports.log);
-    if (hasNeverStarted(machine, now, ports)) machine.releaseReason = 'never-started';
-    if (isOneWayPartitioned(machine, now, ports)) machine.releaseReason = 'one-way-partition';
-    if (isFaultyAndEmpty(machine)) machine.releaseReason = 'faulty';
+    stopStragglers(machine, now, log);
+    const reason = silent.has(machine) ? 'silent' : failureOf(machine, now, ports);
+    if (reason !== undefined) mark(machine, reason, now, log);
   }
-  const { missedHeartbeats } = ports.operator.workers;
-  for (const machine of silentMachines(unmarkedMachines, now, ports.settings, missedHeartbeats)) {
-    machine.releaseReason = 'silent';
-  }
-  for (const machine of unmarkedMachines) {
-    if (machine.releaseReason !== undefined) logFailure(machine, machine.releaseReason, now, ports.log);
+  markMachinesWithOverdueTasks(unmarkedMachines, now, ports);
+}
+
+/** Why the machine counts as failed although it is not silent; undefined if it does not. */
+function failureOf(machine: MachineState, now: number, ports: AssessmentPorts): ReleaseReason | undefined {
+  if (isFaultyAndEmpty(machine)) return 'faulty';
+  if (isOneWayPartitioned(machine, now, ports)) return 'one-way-partition';
+  return hasNeverStarted(machine, now, ports) ? 'never-started' : undefined;
+}
+
+/**
+ * Sets the release reason of machines on which tasks of cancelled jobs may outlast the deadline of their
+ * cancellation, unless they have a release reason. `now` is a monotonic time in ms.
+ */
+export function markMachinesWithOverdueTasks(
+  machines: Iterable<MachineState>,
+  now: number,
+  { log, operator, outcomeOf, settings, wallClock }: AssessmentPorts,
+): void {
+  const limits = cancelledTaskLimits(
+    settings,
+    settings.heartbeatIntervalMs * operator.workers.missedHeartbeats,
+  );
+  const inputs = { now, wallNow: wallClock(), limits, outcomeOf };
+  for (const machine of withoutReleaseReason(machines)) {
+    if (hasOverdueTask(machine, inputs)) mark(machine, 'cancelled-task', now, log);
   }
 }
 
+function withoutReleaseReason(machines: Iterable<MachineState>): MachineState[] {
+  return [...machines].filter(({ releaseReason }) => releaseReason === undefined);
+}
+
 /**
- * Logs the decision to release a machine. The cloud confirms the release later, and may have to be asked
- * several times.
+ * Marks the machine to be released, and logs the decision. The cloud confirms the release later, and may have
+ * to be asked several times.
  */
-function logFailure(machine: MachineState, reason: ReleaseReason, now: number, log: Log): void {
+function mark(machine: MachineState, reason: ReleaseReason, now: number, log: Log): void {
+  machine.releaseReason = reason;
   log.info(
     {
       event: 'machine-failed',
