Wait for the time of a cancellation before a machine counts as overdue

A status of a peer may list a cancellation some hundred milliseconds before the watch delivers the outcome with its time. Found by reading; the new test of the health monitor fails without the change. An unknown time now counts only after it was asked for in vain for the silence limit.

The check moves out of the assessment of failed machines into CancelledTaskMonitor, with the reads of missing outcomes; the decision to release, which both log, into release-decision.ts.

--- a/src/workers/cancelled-tasks.test.ts
+++ b/src/workers/cancelled-tasks.test.ts
@@ -37,7 +37,13 @@
   cancelledForMs: number,
   outcome: OutcomeRecord | undefined = record('cancelled', cancelledAt),
 ): CancelledTaskInputs {
-  return { now: cancelledForMs, wallNow: cancelledAt + cancelledForMs, limits, outcomeOf: () => outcome };
+  return {
+    now: cancelledForMs,
+    wallNow: cancelledAt + cancelledForMs,
+    limits,
+    outcomeOf: () => outcome,
+    unreadForMs: () => 0,
+  };
 }
 
 /** Returns the first time after the cancellation, in ms, at which the machine must be released. */
@@ -100,12 +106,18 @@
   assert.equal(hasOverdueTask(open, inputs), false);
 });
 
-test('if it is not known when the job was cancelled, the machine is released after the silence limit', () => {
-  const unread = (now: number): CancelledTaskInputs => ({ ...inputsAt(now), outcomeOf: () => undefined });
-  const withoutTime = (now: number): CancelledTaskInputs => inputsAt(now, record('cancelled'));
-  for (const inputsOf of [unread, withoutTime]) {
-    assert.equal(hasOverdueTask(machineWithTask('placed', 0), inputsOf(silenceLimitMs)), false);
-    assert.equal(hasOverdueTask(machineWithTask('placed', 0), inputsOf(silenceLimitMs + 1)), true);
+test('if the time of the cancellation cannot be read within the silence limit, a silent machine is released', () => {
+  const machine = machineWithTask('placed', 0);
+  for (const outcome of [undefined, record('cancelled')]) {
+    const isReleased = (unreadMs: number, now: number): boolean =>
+      hasOverdueTask(machine, {
+        ...inputsAt(now),
+        outcomeOf: () => outcome,
+        unreadForMs: () => unreadMs,
+      });
+    assert.equal(isReleased(silenceLimitMs, 60_000), false);
+    assert.equal(isReleased(silenceLimitMs + 1, silenceLimitMs), false);
+    assert.equal(isReleased(silenceLimitMs + 1, silenceLimitMs + 1), true);
   }
 });
 
--- a/src/workers/cancelled-tasks.ts
+++ b/src/workers/cancelled-tasks.ts
@@ -32,6 +32,8 @@
   wallNow: number;
   limits: CancelledTaskLimits;
   outcomeOf: OutcomeLookup;
+  /** For how long, in ms, the store was asked in vain for the outcome of the job; 0 if it was not asked. */
+  unreadForMs: (jobId: string) => number;
 }
 
 /**
@@ -59,13 +61,14 @@
 
 /** Whether the machine must be released because of a task of a cancelled job. */
 export function hasOverdueTask(machine: MachineState, inputs: CancelledTaskInputs): boolean {
-  const { now, wallNow, limits, outcomeOf } = inputs;
+  const { now, wallNow, limits, outcomeOf, unreadForMs } = inputs;
   const isSilent = now - machine.lastHeartbeatAt > limits.silenceLimitMs;
   return endedTasks(machine).some(({ job }) => {
     const record = outcomeOf(job.id);
     if (record?.outcome === 'done') return false;
-    // The cancellation may be long past: its record has not been read, or an earlier version wrote no time.
-    if (record?.endedAt === undefined) return isSilent;
+    // The time is unknown: the record could not be read, or an earlier version wrote it without time. The
+    // cancellation may be long past.
+    if (record?.endedAt === undefined) return isSilent && unreadForMs(job.id) > limits.silenceLimitMs;
     const cancelledForMs = wallNow - record.endedAt;
     return cancelledForMs > limits.overdueMs || (isSilent && cancelledForMs > limits.silentMs);
   });
--- a/src/workers/health-monitor.test.ts
+++ b/src/workers/health-monitor.test.ts
@@ -178,6 +178,30 @@
     assert.deepEqual([requests, noHeartbeatsCalls], [[['m0', 'm1', 'm2', 'm3']], 1]);
   });
 
+  // Guards against the release of machines at work: a peer lists a cancellation without its time, and the
+  // machine counts as overdue until the store delivers the time.
+  test('is kept for the silence limit while the time of the cancellation is read in vain', async () => {
+    const silenceLimitMs = settings.heartbeatIntervalMs * defaultOperatorSettings.workers.missedHeartbeats;
+    const checkedAt = [0, silenceLimitMs, silenceLimitMs + 1];
+    const releasedAt: number[] = [];
+    let now = 0;
+    const [machine] = withCancelledTasks(silentMachines(1));
+    assert.ok(machine);
+    machine.hasSentHeartbeat = false;
+    machine.lastHeartbeatAt = -settings.workerLeaseMs;
+    await runChecks([machine], checkedAt.length, {
+      clock: () => now,
+      wallClock,
+      outcomeOf: () => ({ outcome: 'cancelled', tasks: 0 }),
+      isStoreReachable: () => {
+        now = checkedAt.shift() ?? now;
+        return true;
+      },
+      onTasksRequeued: () => void releasedAt.push(now),
+    });
+    assert.deepEqual(releasedAt, [silenceLimitMs + 1]);
+  });
+
   // Guards against a restarted owner that knows that the job has ended, but never learns since when.
   test('is released after the outcome of the job, which the replica lacks, has been read', async () => {
     const outcomes = new Map<string, OutcomeRecord>();
--- a/src/workers/health-monitor.ts
+++ b/src/workers/health-monitor.ts
@@ -4,18 +4,16 @@
  */
 import { type Clock, sleep } from '../base/clock.js';
 import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
+import { CancelledTaskMonitor, type CancelledTaskMonitorPorts } from './cancelled-task-monitor.js';
+import type { CancellationTimes } from './cancelled-tasks.js';
 import { ControllerDelays } from './controller-delays.js';
 import { noHeartbeatsReceived } from './failure-detection.js';
-import {
-  type AssessmentPorts,
-  markFailedMachines,
-  markMachinesWithOverdueTasks,
-} from './machine-assessment.js';
+import { type AssessmentPorts, markFailedMachines } from './machine-assessment.js';
 import { type MachineReleaserPorts, releaseMarkedMachines } from './machine-releaser.js';
-import { MissingOutcomes, type MissingOutcomesPorts } from './missing-outcomes.js';
 
 /** Dependencies of the health monitor on the rest of the controller. */
-export interface HealthMonitorPorts extends AssessmentPorts, MachineReleaserPorts, MissingOutcomesPorts {
+export interface HealthMonitorPorts extends AssessmentPorts, MachineReleaserPorts, CancelledTaskMonitorPorts {
+  settings: CancellationTimes;
   clock: Clock;
   /** Aborted when the lease of the block ends. */
   signal: AbortSignal;
@@ -47,10 +45,10 @@
  */
 export class HealthMonitor {
   private storeReachableSince = 0;
-  private readonly missingOutcomes: MissingOutcomes;
+  private readonly cancelledTasks: CancelledTaskMonitor;
 
   constructor(private readonly ports: HealthMonitorPorts) {
-    this.missingOutcomes = new MissingOutcomes(ports);
+    this.cancelledTasks = new CancelledTaskMonitor(ports);
   }
 
   /** Checks the machines until the lease of the block ends. */
@@ -75,15 +73,14 @@
       return;
     }
     const machines = [...blockState.machines.values()];
-    this.missingOutcomes.read(machines);
-    if (this.isPartitionedFromWorkers()) {
-      onNoHeartbeats();
-      markMachinesWithOverdueTasks(machines, clock(), this.ports);
-      await this.release(this.markedMachines('cancelled-task'), ownDelays);
-    } else {
-      markFailedMachines(machines, clock(), this.ports);
-      await this.release(this.markedMachines(), ownDelays);
-    }
+    const isPartitioned = this.isPartitionedFromWorkers();
+    if (isPartitioned) onNoHeartbeats();
+    else markFailedMachines(machines, clock(), this.ports);
+    this.cancelledTasks.markOverdue(machines, clock());
+    await this.release(
+      isPartitioned ? this.markedMachines('cancelled-task') : this.markedMachines(),
+      ownDelays,
+    );
   }
 
   private async release(marked: MachineState[], ownDelays: ControllerDelays): Promise<void> {
--- a/src/workers/machine-assessment.test.ts
+++ b/src/workers/machine-assessment.test.ts
@@ -11,20 +11,11 @@
 
 const ports: AssessmentPorts = {
   log: silentLog,
-  settings: {
-    heartbeatIntervalMs: 1000,
-    workerLeaseMs: 6000,
-    cancelDeadlineMs: 16_000,
-    clockErrorMs: 100,
-  },
-  wallClock: () => 0,
-  outcomeOf: () => undefined,
+  settings: { heartbeatIntervalMs: 1000, workerLeaseMs: 6000, cancelDeadlineMs: 16_000 },
   operator: defaultOperatorSettings,
   machineTypes: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((type) => [type.name, type])),
 };
 
-const openJob = { id: 'req-1', outcome: undefined } as unknown as JobState;
-
 function machineLeasedAt(leasedAt: number): MachineState {
   const machine = new MachineState('m1', leasedAt);
   machine.info = { id: 'm1', type: 'c8', zone: 'a', spot: false };
@@ -64,7 +55,7 @@
   test('one-way-partition: heartbeats arrive, but a command was not executed within three heartbeat intervals', () => {
     const noReason = releaseReasonAt(liveMachine(0), 0);
     const machine = liveMachine(4000);
-    machine.tasks.set('req-1/0', { phase: 'placed', startSentAt: 1000, job: openJob } as Task);
+    machine.tasks.set('req-1/0', { phase: 'placed', startSentAt: 1000 } as Task);
     assert.equal(releaseReasonAt(machine, 4000), noReason);
     assert.equal(releaseReasonAt(machine, 4001), 'one-way-partition');
   });
@@ -73,7 +64,7 @@
     const noReason = releaseReasonAt(liveMachine(0), 0);
     const machine = liveMachine(0);
     machine.faulty = true;
-    machine.tasks.set('req-1/0', { phase: 'seen', job: openJob } as Task);
+    machine.tasks.set('req-1/0', { phase: 'seen' } as Task);
     assert.equal(releaseReasonAt(machine, 0), noReason);
     machine.tasks.clear();
     assert.equal(releaseReasonAt(machine, 0), 'faulty');
--- a/src/workers/machine-assessment.ts
+++ b/src/workers/machine-assessment.ts
@@ -3,25 +3,16 @@
 import type { MachineType } from '../model/types.js';
 import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
 import type { OperatorSettings } from '../settings/operator.js';
-import {
-  type CancellationTimes,
-  cancelledTaskLimits,
-  hasOverdueTask,
-  type OutcomeLookup,
-} from './cancelled-tasks.js';
 import { type FailureDetectionTimes, silentMachines } from './failure-detection.js';
+import { markForRelease } from './release-decision.js';
 import { findStragglers } from './straggler-detection.js';
 
 /** Dependencies of the assessment on the rest of the controller. */
 export interface AssessmentPorts {
   log: Log;
-  settings: FailureDetectionTimes & CancellationTimes;
+  settings: FailureDetectionTimes;
   operator: Pick<OperatorSettings, 'workers'>;
   machineTypes: () => ReadonlyMap<string, MachineType>;
-  /** Wall-clock time in ms since the epoch, by which the times of cancellations are recorded. */
-  wallClock: () => number;
-  /** Looks up outcomes of jobs in the replica of the store. */
-  outcomeOf: OutcomeLookup;
 }
 
 /**
@@ -41,14 +32,13 @@
   ports: AssessmentPorts,
 ): void {
   const { log, operator, settings } = ports;
-  const unmarkedMachines = withoutReleaseReason(machines);
+  const unmarkedMachines = [...machines].filter(({ releaseReason }) => releaseReason === undefined);
   const silent = new Set(silentMachines(unmarkedMachines, now, settings, operator.workers.missedHeartbeats));
   for (const machine of unmarkedMachines) {
     stopStragglers(machine, now, log);
     const reason = silent.has(machine) ? 'silent' : failureOf(machine, now, ports);
-    if (reason !== undefined) mark(machine, reason, now, log);
+    if (reason !== undefined) markForRelease(machine, reason, now, log);
   }
-  markMachinesWithOverdueTasks(unmarkedMachines, now, ports);
 }
 
 /** Why the machine counts as failed although it is not silent; undefined if it does not. */
@@ -58,48 +48,6 @@
   return hasNeverStarted(machine, now, ports) ? 'never-started' : undefined;
 }
 
-/**
- * Sets the release reason of machines on which tasks of cancelled jobs may outlast the deadline of their
- * cancellation, unless they have a release reason. `now` is a monotonic time in ms.
- */
-export function markMachinesWithOverdueTasks(
-  machines: Iterable<MachineState>,
-  now: number,
-  { log, operator, outcomeOf, settings, wallClock }: AssessmentPorts,
-): void {
-  const limits = cancelledTaskLimits(
-    settings,
-    settings.heartbeatIntervalMs * operator.workers.missedHeartbeats,
-  );
-  const inputs = { now, wallNow: wallClock(), limits, outcomeOf };
-  for (const machine of withoutReleaseReason(machines)) {
-    if (hasOverdueTask(machine, inputs)) mark(machine, 'cancelled-task', now, log);
-  }
-}
-
-function withoutReleaseReason(machines: Iterable<MachineState>): MachineState[] {
-  return [...machines].filter(({ releaseReason }) => releaseReason === undefined);
-}
-
-/**
- * Marks the machine to be released, and logs the decision. The cloud confirms the release later, and may have
- * to be asked several times.
- */
-function mark(machine: MachineState, reason: ReleaseReason, now: number, log: Log): void {
-  machine.releaseReason = reason;
-  log.info(
-    {
-      event: 'machine-failed',
-      machine: machine.id,
-      reason,
-      tasks: machine.tasks.size,
-      hasSentHeartbeat: machine.hasSentHeartbeat,
-      silentMs: Math.round(now - machine.lastHeartbeatAt),
-    },
-    'machine counts as failed; requesting its release from the cloud',
-  );
-}
-
 function stopStragglers(machine: MachineState, now: number, log: Log): void {
   for (const task of findStragglers(machine, now)) {
     task.stopping = true;
--- a/src/workers/missing-outcomes.ts
+++ b/src/workers/missing-outcomes.ts
@@ -16,17 +16,24 @@
  */
 export class MissingOutcomes {
   private readonly jobsInFlight = new Set<string>();
+  /** Monotonic time in ms at which the outcome was first found to be missing, by job id. */
+  private missingSince = new Map<string, number>();
 
   constructor(private readonly ports: MissingOutcomesPorts) {}
 
   /**
    * Starts to read the missing outcomes of jobs with tasks on these machines, without waiting for the reads.
-   * Called at each check of the machines, so a failed read is retried.
+   * Called at each check of the machines, so a failed read is retried. `now` is a monotonic time in ms.
    */
-  read(machines: Iterable<MachineState>): void {
-    for (const machine of machines) {
-      for (const job of jobsWithUnreadOutcome(machine, this.ports.outcomeOf)) void this.readOutcome(job);
-    }
+  read(machines: Iterable<MachineState>, now: number): void {
+    const missing = [...machines].flatMap((machine) => jobsWithUnreadOutcome(machine, this.ports.outcomeOf));
+    this.missingSince = new Map(missing.map((job) => [job, this.missingSince.get(job) ?? now]));
+    for (const job of this.missingSince.keys()) void this.readOutcome(job);
+  }
+
+  /** Returns for how long the outcome of the job has been missing, in ms; 0 if it is not missing. */
+  unreadForMs(job: string, now: number): number {
+    return now - (this.missingSince.get(job) ?? now);
   }
 
   private async readOutcome(job: string): Promise<void> {
