Release machines with overdue tasks during an outage of the state service

The tasks were on the machine until the outage was over.

Cause: an owner that the state service does not serve releases nothing, because another controller may have leased its block.

Change: the owner releases machines with overdue tasks of cancelled jobs if every peer has stated, at most two heartbeat intervals ago, that the state service has not served it since the owner's own lease may have expired. If only this controller is refused, or a peer is silent, nothing is released, as before.

--- a/src/controller/block-ownership.ts
+++ b/src/controller/block-ownership.ts
@@ -8,6 +8,8 @@
 import { OwnedBlocks } from '../blocks/owned-blocks.js';
 import type { CloudClient } from '../cloud/client.js';
 import type { Membership } from '../leadership/membership.js';
+import { isOutageForAllControllers } from '../leadership/store-outage.js';
+import type { LastPeerStatus } from '../peers/peer-links.js';
 import type { QueueOrder } from '../placement/queue-order.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { Settings } from '../settings/settings.js';
@@ -30,6 +32,10 @@
   order: QueueOrder;
   machineTypes: Pick<MachineTypeCatalog, 'types'>;
   membership: Pick<Membership, 'resign'>;
+  /** The latest status of the peer with this label; undefined if no status of the peer has been received. */
+  lastPeerStatus: (label: string) => LastPeerStatus | undefined;
+  /** Time to live of a controller's lease in the store, in ms. */
+  leaseTtlMs: number;
 }
 
 /**
@@ -71,6 +77,14 @@
     readOutcome: (jobId) => state.outcomeReader.read(jobId),
     machineTypes: () => ports.machineTypes.types,
     isStoreReachable: () => state.replicaFreshness.isStoreReachable(),
+    isStoreDownForAll: () =>
+      isOutageForAllControllers({
+        now: ports.clock(),
+        lastStoreContactAt: state.store.lastContactAt,
+        leaseTtlMs: ports.leaseTtlMs,
+        heartbeatIntervalMs: settings.heartbeatIntervalMs,
+        peers: settings.peers.map(({ label }) => ports.lastPeerStatus(label)),
+      }),
     // If this controller receives no heartbeats at all, another controller has to take over its blocks to
     // keep their tasks running. Resigning ends this controller's lease in the store, and the leader then
     // leases the blocks to other controllers.
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -165,6 +165,8 @@
       order: this.order,
       machineTypes: this.machineTypes,
       membership: this.membership,
+      lastPeerStatus: (label) => this.peerLinks.lastStatus(label),
+      leaseTtlMs: this.leaseTtlMs,
     });
   }
 
--- a/src/fault-scenarios/hung-machines.test.ts
+++ b/src/fault-scenarios/hung-machines.test.ts
@@ -187,3 +187,22 @@
     assert.ok(cluster.cloud.released.includes(hung.machine.id));
   },
 );
+
+/** Longer than `times`, because a controller sends its status to its peers twice a second at most. */
+const outageTimes = { report_s: 0.8, lease_s: 2.5, cancel_s: 8 };
+
+// Guards against an owner that releases nothing while the state service is down for all controllers: no other
+// controller can own its machines then.
+scenario(
+  'a machine hangs, its job is cancelled, and the state service is down for all until after the deadline',
+  { ...clusterOptions(27_720), times: outageTimes },
+  async (cluster) => {
+    await submitAndAwaitTasks(cluster, cancelled, 1);
+    const [hung] = workersRunning(cluster, cancelled);
+    assert.ok(hung);
+    await cancelOnHungMachines(cluster, [hung]);
+    cluster.store.hasOutage = true;
+    await pause(outageTimes.cancel_s * 1000 * 1.1);
+    cluster.store.hasOutage = false;
+  },
+);
--- a/src/workers/health-monitor.test.ts
+++ b/src/workers/health-monitor.test.ts
@@ -83,6 +83,7 @@
         return [{} as Task];
       },
     },
+    isStoreDownForAll: () => false,
     onNoHeartbeats: () => {
       result.noHeartbeatsCalls++;
     },
@@ -178,6 +179,21 @@
     assert.deepEqual([requests, noHeartbeatsCalls], [[['m0', 'm1', 'm2', 'm3']], 1]);
   });
 
+  // Guards against an owner that waits for the store although no other controller can own its machines.
+  test('is released during an outage of the store for all controllers, but not if only this controller is refused', async () => {
+    const machines = [...withCancelledTasks(silentMachines(1)), ...silentMachines(2).slice(1)];
+    for (const isStoreDownForAll of [false, true]) {
+      const { requests } = await runChecks(machines, 1, {
+        clock: () => 0,
+        wallClock,
+        outcomeOf: () => cancelledAt(wallClock() - settings.cancelDeadlineMs),
+        isStoreReachable: () => false,
+        isStoreDownForAll: () => isStoreDownForAll,
+      });
+      assert.deepEqual(requests, isStoreDownForAll ? [['m0']] : []);
+    }
+  });
+
   // Guards against the release of machines at work: a peer lists a cancellation without its time, and the
   // machine counts as overdue until the store delivers the time.
   test('is kept for the silence limit while the time of the cancellation is read in vain', async () => {
--- a/src/workers/health-monitor.ts
+++ b/src/workers/health-monitor.ts
@@ -3,7 +3,7 @@
  * of machines, with the tasks placed on them, that is leased to one controller.
  */
 import { type Clock, sleep } from '../base/clock.js';
-import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
+import type { MachineState } from '../placement/machine-state.js';
 import { CancelledTaskMonitor, type CancelledTaskMonitorPorts } from './cancelled-task-monitor.js';
 import type { CancellationTimes } from './cancelled-tasks.js';
 import { ControllerDelays } from './controller-delays.js';
@@ -19,6 +19,11 @@
   signal: AbortSignal;
   /** Whether the store has recently answered this controller. */
   isStoreReachable: () => boolean;
+  /**
+   * Whether the store serves no controller. Then this controller still owns its blocks although the store is
+   * unreachable.
+   */
+  isStoreDownForAll: () => boolean;
   /**
    * Called at each check that finds this controller most likely partitioned from the workers: no machine has
    * sent a recent heartbeat, although the store has been reachable for some time.
@@ -40,8 +45,9 @@
  * Releases machines of its block that are silent, do not execute commands, never started, or are faulty, and
  * machines on which tasks of cancelled jobs may outlast their deadline. The cloud's response to the release
  * proves that the tasks of these machines no longer run. Delays of this controller itself do not count as
- * silence of the machines. If the store is unreachable, no machine is released. If all workers are
- * unreachable, only machines with tasks of cancelled jobs are released.
+ * silence of the machines. If all workers are unreachable, or if the store is down for all controllers, only
+ * machines with tasks of cancelled jobs are released. If the store is unreachable otherwise, no machine is
+ * released.
  */
 export class HealthMonitor {
   private storeReachableSince = 0;
@@ -64,23 +70,31 @@
   }
 
   private async check(ownDelays: ControllerDelays): Promise<void> {
-    const { blockState, clock, isStoreReachable, onNoHeartbeats } = this.ports;
+    const { clock, isStoreReachable, isStoreDownForAll, onNoHeartbeats } = this.ports;
     this.addGrace(ownDelays.graceMs());
-    // If the store is unreachable, another controller may have leased the block, and the tasks that a release
-    // requeues could not be started again.
     if (!isStoreReachable()) {
       this.storeReachableSince = clock();
-      return;
+      // Another controller may have leased the block, unless the store serves no controller. The tasks that a
+      // release requeues cannot be started before the store is reachable.
+      if (isStoreDownForAll()) await this.releaseOverdue(ownDelays);
+    } else if (this.isPartitionedFromWorkers()) {
+      onNoHeartbeats();
+      await this.releaseOverdue(ownDelays);
+    } else {
+      markFailedMachines(this.machines(), clock(), this.ports);
+      this.cancelledTasks.markOverdue(this.machines(), clock());
+      await this.release(
+        this.machines().filter(({ releaseReason }) => releaseReason !== undefined),
+        ownDelays,
+      );
     }
-    const machines = [...blockState.machines.values()];
-    const isPartitioned = this.isPartitionedFromWorkers();
-    if (isPartitioned) onNoHeartbeats();
-    else markFailedMachines(machines, clock(), this.ports);
-    this.cancelledTasks.markOverdue(machines, clock());
-    await this.release(
-      isPartitioned ? this.markedMachines('cancelled-task') : this.markedMachines(),
-      ownDelays,
-    );
+  }
+
+  /** Releases only machines on which tasks of cancelled jobs may outlast their deadline. */
+  private async releaseOverdue(ownDelays: ControllerDelays): Promise<void> {
+    this.cancelledTasks.markOverdue(this.machines(), this.ports.clock());
+    const overdue = this.machines().filter(({ releaseReason }) => releaseReason === 'cancelled-task');
+    await this.release(overdue, ownDelays);
   }
 
   private async release(marked: MachineState[], ownDelays: ControllerDelays): Promise<void> {
@@ -92,7 +106,7 @@
 
   private addGrace(graceMs: number): void {
     if (graceMs === 0) return;
-    for (const machine of this.ports.blockState.machines.values()) machine.excludeControllerDelay(graceMs);
+    for (const machine of this.machines()) machine.excludeControllerDelay(graceMs);
   }
 
   /**
@@ -108,10 +122,7 @@
     return isStoreStable && noHeartbeatsReceived(blockState.machines.values(), clock(), heartbeatIntervalMs);
   }
 
-  /** Returns the machines to release, or only those with this release reason. */
-  private markedMachines(reason?: ReleaseReason): MachineState[] {
-    return [...this.ports.blockState.machines.values()].filter(({ releaseReason }) =>
-      reason === undefined ? releaseReason !== undefined : releaseReason === reason,
-    );
+  private machines(): MachineState[] {
+    return [...this.ports.blockState.machines.values()];
   }
 }
