Keep machines that send heartbeats although a cancelled task is overdue

The heartbeat did not carry the new token yet, so the ended task still counted as being on the machine. A machine that sends heartbeats does not hang: its response contains the stop, and if it does not receive the response, its lease expires before the deadline.

A machine that has sent its present owner a heartbeat within the longest gap of a healthy worker is now kept. The three identical lists of worker times in the folder are one type now. All tests of the folder and all nine scenarios of hung-machines.test.ts pass.

--- a/src/workers/cancelled-tasks.ts
+++ b/src/workers/cancelled-tasks.ts
@@ -7,6 +7,7 @@
 import type { MachineState } from '../placement/machine-state.js';
 import type { Settings } from '../settings/settings.js';
 import type { OutcomeRecord } from '../wire/job-records.js';
+import { maxHeartbeatGapIntervals } from './failure-detection.js';
 
 /** The settings from which the limits are computed, in ms. */
 export type CancellationTimes = WorkerTimes & Pick<Settings, 'clockErrorMs'>;
@@ -16,12 +17,17 @@
 
 /** Limits for machines with tasks of a cancelled job, in ms. */
 export interface CancelledTaskLimits {
-  /** A machine without recent heartbeats is released when this time has passed since the cancellation. */
+  /** A silent machine is released when this time has passed since the cancellation. */
   silentMs: number;
-  /** Any machine is released when this time has passed since the cancellation. */
+  /**
+   * Any machine is released when this time has passed since the cancellation, unless it sends this owner
+   * heartbeats.
+   */
   overdueMs: number;
   /** A machine counts as silent when this time has passed since its latest heartbeat to this owner. */
   silenceLimitMs: number;
+  /** Maximum time between two heartbeats of a healthy worker. */
+  maxHeartbeatGapMs: number;
 }
 
 /** The time of a check, and what the check depends on besides the machine. */
@@ -50,28 +56,40 @@
  * heartbeats prove nothing. The release before the deadline takes precedence over this wait.
  */
 export function cancelledTaskLimits(times: CancellationTimes, silenceLimitMs: number): CancelledTaskLimits {
-  const { cancelDeadlineMs, workerLeaseMs, clockErrorMs } = times;
+  const { cancelDeadlineMs, workerLeaseMs, clockErrorMs, heartbeatIntervalMs } = times;
   const marginMs = (cancelDeadlineMs - workerLeaseMs) * releaseMarginRatio;
   // The cancellation was recorded by the clock of another controller.
   const maxClockDifferenceMs = 2 * clockErrorMs;
   const overdueMs = cancelDeadlineMs - marginMs - maxClockDifferenceMs;
   const silentMs = Math.min(responseWindowMs(times) + silenceLimitMs, overdueMs);
-  return { silentMs, overdueMs, silenceLimitMs };
+  const maxHeartbeatGapMs = heartbeatIntervalMs * maxHeartbeatGapIntervals;
+  return { silentMs, overdueMs, silenceLimitMs, maxHeartbeatGapMs };
 }
 
-/** Whether the machine must be released because of a task of a cancelled job. */
+/**
+ * Whether the machine must be released because of a task of a cancelled job. A machine that sends heartbeats
+ * does not hang: it executes the stop in the response, or ends its tasks when its lease expires.
+ */
 export function hasOverdueTask(machine: MachineState, inputs: CancelledTaskInputs): boolean {
-  const { now, wallNow, limits, outcomeOf, unreadForMs } = inputs;
-  const isSilent = now - machine.lastHeartbeatAt > limits.silenceLimitMs;
-  return endedTasks(machine).some(({ job }) => {
-    const record = outcomeOf(job.id);
-    if (record?.outcome === 'done') return false;
-    // The time is unknown: the record could not be read, or an earlier version wrote it without time. The
-    // cancellation may be long past.
-    if (record?.endedAt === undefined) return isSilent && unreadForMs(job.id) > limits.silenceLimitMs;
-    const cancelledForMs = wallNow - record.endedAt;
-    return cancelledForMs > limits.overdueMs || (isSilent && cancelledForMs > limits.silentMs);
-  });
+  const { now, limits } = inputs;
+  const silentForMs = now - machine.lastHeartbeatAt;
+  if (machine.hasSentHeartbeat && silentForMs <= limits.maxHeartbeatGapMs) return false;
+  const isSilent = silentForMs > limits.silenceLimitMs;
+  for (const { job } of endedTasks(machine)) {
+    if (isOverdue(job.id, isSilent, inputs)) return true;
+  }
+  return false;
+}
+
+/** Whether a task of the ended job must be off its machine by now. */
+function isOverdue(job: string, isSilent: boolean, inputs: CancelledTaskInputs): boolean {
+  const { wallNow, limits, outcomeOf, unreadForMs } = inputs;
+  const record = outcomeOf(job);
+  if (record?.outcome === 'done') return false;
+  // The time is unknown if the record could not be read, or if an earlier version wrote it without time. The
+  // cancellation may be long past.
+  if (record?.endedAt === undefined) return isSilent && unreadForMs(job) > limits.silenceLimitMs;
+  return wallNow - record.endedAt > (isSilent ? limits.silentMs : limits.overdueMs);
 }
 
 /**
@@ -79,7 +97,8 @@
  * unknown, or a peer has listed the cancellation without its time.
  */
 export function jobsWithUnreadOutcome(machine: MachineState, outcomeOf: OutcomeLookup): string[] {
-  const ids = new Set(endedTasks(machine).map(({ job }) => job.id));
+  const ids = new Set<string>();
+  for (const { job } of endedTasks(machine)) ids.add(job.id);
   return [...ids].filter((id) => {
     const record = outcomeOf(id);
     return record === undefined || (record.outcome === 'cancelled' && record.endedAt === undefined);
@@ -87,6 +106,7 @@
 }
 
 /** The tasks of ended jobs that are, or may be, on the machine. A task in phase `placing` was never started. */
-function endedTasks({ tasks }: MachineState): Task[] {
-  return [...tasks.values()].filter(({ job, phase }) => job.outcome !== undefined && phase !== 'placing');
+function* endedTasks({ tasks }: MachineState): Generator<Task> {
+  for (const task of tasks.values())
+    if (task.job.outcome !== undefined && task.phase !== 'placing') yield task;
 }
--- a/src/workers/failure-detection.ts
+++ b/src/workers/failure-detection.ts
@@ -2,14 +2,8 @@
  * Detects failed machines by missed heartbeats. Accounts for the cases in which missed heartbeats do not
  * prove a failure.
  */
+import type { WorkerTimes } from '../leadership/heartbeat-response-policy.js';
 import type { MachineState } from '../placement/machine-state.js';
-import type { Settings } from '../settings/settings.js';
-
-/** The settings from which the time limits of failure detection are computed, in ms. */
-export type FailureDetectionTimes = Pick<
-  Settings,
-  'heartbeatIntervalMs' | 'workerLeaseMs' | 'cancelDeadlineMs'
->;
 
 /**
  * If more than this fraction of the machines of a zone is silent at the same time, the zone is most likely
@@ -29,7 +23,7 @@
  */
 const minMachinesToSuspectOwnPartition = 4;
 /** Maximum time between two heartbeats of a healthy worker, in heartbeat intervals. */
-const maxHeartbeatGapIntervals = 1.25;
+export const maxHeartbeatGapIntervals = 1.25;
 
 /**
  * Whether no machine has sent a recent heartbeat, although at least `minMachinesToSuspectOwnPartition`
@@ -69,7 +63,7 @@
 export function silentMachines(
   machines: readonly MachineState[],
   now: number,
-  times: FailureDetectionTimes,
+  times: WorkerTimes,
   maxMissedHeartbeats: number,
 ): MachineState[] {
   const silenceLimitMs = times.heartbeatIntervalMs * maxMissedHeartbeats;
--- a/src/workers/machine-assessment.ts
+++ b/src/workers/machine-assessment.ts
@@ -1,16 +1,17 @@
 /** Determines from heartbeats and tasks which machines of a block have failed. */
 import type { Log } from '../base/log.js';
+import type { WorkerTimes } from '../leadership/heartbeat-response-policy.js';
 import type { MachineType } from '../model/types.js';
 import type { MachineState, ReleaseReason } from '../placement/machine-state.js';
 import type { OperatorSettings } from '../settings/operator.js';
-import { type FailureDetectionTimes, silentMachines } from './failure-detection.js';
+import { silentMachines } from './failure-detection.js';
 import { markForRelease } from './release-decision.js';
 import { findStragglers } from './straggler-detection.js';
 
 /** Dependencies of the assessment on the rest of the controller. */
 export interface AssessmentPorts {
   log: Log;
-  settings: FailureDetectionTimes;
+  settings: WorkerTimes;
   operator: Pick<OperatorSettings, 'workers'>;
   machineTypes: () => ReadonlyMap<string, MachineType>;
 }
