Use one builder of job specifications in the tests

block-fixture.ts and pools.ts each had a builder with the same fields, one with the number of tasks as second argument, the other with any change. The second one moves to job-specs.ts and serves all tests; the calls name the number of tasks. The scenarios of hung machines share the restart of owners. No expectation changed.

--- a/src/blocks/job-dispatch.test.ts
+++ b/src/blocks/job-dispatch.test.ts
@@ -4,16 +4,16 @@
 import type { JobSpec } from '../model/types.js';
 import { JobIndex } from '../placement/job-index.js';
 import { type QueuedJob, QueueOrder, withoutDependencies } from '../placement/queue-order.js';
-import { jobSpec } from '../testing/block-fixture.js';
 import { leasedMachine, ownedBlock } from '../testing/block-records.js';
 import { machineType } from '../testing/cloud-standin.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { parseMachineTypes } from '../wire/cloud.js';
 import type { TaskRange } from '../wire/job-records.js';
 import { CapacityEstimate } from './capacity-estimate.js';
 import { dispatchToFreeSlots, dispatchToOneBlock } from './job-dispatch.js';
 
 const spec = (id: string, tasks: number, change: Partial<JobSpec> = {}): JobSpec => ({
-  ...jobSpec(id, tasks),
+  ...jobSpec(id, { tasks }),
   ...change,
 });
 
--- a/src/blocks/quota-share-allocator.test.ts
+++ b/src/blocks/quota-share-allocator.test.ts
@@ -3,8 +3,8 @@
 
 import type { IndexedJob } from '../placement/job-index.js';
 import { QueueOrder } from '../placement/queue-order.js';
-import { jobSpec } from '../testing/block-fixture.js';
 import { ownedBlock } from '../testing/block-records.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { testSettings } from '../testing/settings.js';
 import type { BlockRecord } from '../wire/block-records.js';
 import { QuotaShareAllocator } from './quota-share-allocator.js';
@@ -26,7 +26,7 @@
     version: 1,
     readySeenAt: 0,
     taskRanges: [],
-    spec: jobSpec('req-1', 9),
+    spec: jobSpec('req-1', { tasks: 9 }),
   };
   const allocator = new QuotaShareAllocator({
     clock: () => now,
--- a/src/blocks/rebalancer.test.ts
+++ b/src/blocks/rebalancer.test.ts
@@ -4,10 +4,10 @@
 import { silentLog } from '../base/log.js';
 import { JobIndex } from '../placement/job-index.js';
 import { QueueOrder } from '../placement/queue-order.js';
-import { jobSpec } from '../testing/block-fixture.js';
 import { leasedMachine, ownedBlock } from '../testing/block-records.js';
 import { machineType } from '../testing/cloud-standin.js';
 import { InMemoryStore } from '../testing/in-memory-store.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { loadReplica } from '../testing/load-replica.js';
 import { testSettings } from '../testing/settings.js';
 import { blockRecord } from '../wire/block-records.js';
@@ -32,7 +32,7 @@
   tasks: number,
 ): Promise<{ run: (nowMs: number) => Promise<TaskRange[] | undefined> }> {
   const store = new InMemoryStore();
-  const spec = jobSpec('req-1', tasks);
+  const spec = jobSpec('req-1', { tasks });
   const taskRanges = [{ block: 0, first: 0, count: tasks }];
   await store.commit(
     'duty',
--- a/src/blocks/task-recall.test.ts
+++ b/src/blocks/task-recall.test.ts
@@ -3,12 +3,12 @@
 
 import type { JobSpec } from '../model/types.js';
 import type { IndexedEntry } from '../placement/ledger-index.js';
-import { jobSpec } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import type { TaskRange } from '../wire/job-records.js';
 import { recallTasks, restoreStartedTasks } from './task-recall.js';
 
 const spec = (id: string, tasks: number, change: Partial<JobSpec> = {}): JobSpec => ({
-  ...jobSpec(id, tasks),
+  ...jobSpec(id, { tasks }),
   ...change,
 });
 
--- a/src/dependencies/dependency-graph.test.ts
+++ b/src/dependencies/dependency-graph.test.ts
@@ -2,7 +2,7 @@
 import { describe, test } from 'node:test';
 
 import type { JobSpec } from '../model/types.js';
-import { jobSpec } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import type { OutcomeRecord } from '../wire/job-records.js';
 import { DependencyGraph } from './dependency-graph.js';
 
@@ -11,7 +11,7 @@
 const allOpen = (): boolean => true;
 
 function jobWithDependencies(id: string, dependencies: string[], change: Partial<JobSpec> = {}): JobSpec {
-  return { ...jobSpec(id, 1), dependencies, ...change };
+  return { ...jobSpec(id, { tasks: 1 }), dependencies, ...change };
 }
 
 /** Adds a diamond: `last` depends on `left` and `right`, and both depend on `first`. */
@@ -105,12 +105,24 @@
   test('a job inherits the highest urgency of its dependents, and its latest end time from the longest path', () => {
     const graph = new DependencyGraph(() => 0);
     addDiamond(graph);
-    assert.deepEqual(graph.downstreamDemand(jobSpec('left', 1)), { urgency: 'high', endBy: 92_000 });
+    assert.deepEqual(graph.downstreamDemand(jobSpec('left', { tasks: 1 })), {
+      urgency: 'high',
+      endBy: 92_000,
+    });
     // The deadline of `last` (100 s) less the run times of `last` (8 s) and `left` (25 s). The run time of
     // `right` is 20 s, so the path through `left` is the longest.
-    assert.deepEqual(graph.downstreamDemand(jobSpec('first', 1)), { urgency: 'high', endBy: 67_000 });
-    assert.deepEqual(graph.downstreamDemand(jobSpec('alone', 1)), { urgency: 'standard', endBy: undefined });
+    assert.deepEqual(graph.downstreamDemand(jobSpec('first', { tasks: 1 })), {
+      urgency: 'high',
+      endBy: 67_000,
+    });
+    assert.deepEqual(graph.downstreamDemand(jobSpec('alone', { tasks: 1 })), {
+      urgency: 'standard',
+      endBy: undefined,
+    });
     graph.remove('last');
-    assert.deepEqual(graph.downstreamDemand(jobSpec('first', 1)), { urgency: 'standard', endBy: undefined });
+    assert.deepEqual(graph.downstreamDemand(jobSpec('first', { tasks: 1 })), {
+      urgency: 'standard',
+      endBy: undefined,
+    });
   });
 });
--- a/src/fault-scenarios/hung-machines.test.ts
+++ b/src/fault-scenarios/hung-machines.test.ts
@@ -32,6 +32,10 @@
   return new Set(workers.map(({ machine }) => cluster.ownerOf(machine.id)));
 }
 
+async function restartOwners(cluster: Cluster, workers: WorkerStandIn[]): Promise<void> {
+  await Promise.all([...ownersOf(cluster, workers)].map((owner) => cluster.restart(owner)));
+}
+
 async function submitAndAwaitTasks(cluster: Cluster, id: string, tasks: number): Promise<void> {
   await cluster.submitUntilAccepted(submission(id, tasks, { owner: 'blue' }));
   await cluster.waitUntil(`all tasks of ${id} run`, () => cluster.runningOf(id).length === tasks);
@@ -67,7 +71,7 @@
       const hung = workersRunning(cluster, cancelled);
       await cancelOnHungMachines(cluster, hung);
       await pause(moment * heartbeatIntervalMs);
-      await Promise.all([...ownersOf(cluster, hung)].map((owner) => cluster.restart(owner)));
+      await restartOwners(cluster, hung);
       // The new incarnation cannot tell whether another previous owner still answers the machines.
       await pause(cancelDeadlineMs / 2 - moment * heartbeatIntervalMs);
       assert.deepEqual(cluster.cloud.released, []);
@@ -85,7 +89,7 @@
     await cancelOnHungMachines(cluster, hung);
     const lastRestartAt = Date.now() + cancelDeadlineMs * 0.7;
     while (Date.now() < lastRestartAt) {
-      await Promise.all([...ownersOf(cluster, hung)].map((owner) => cluster.restart(owner)));
+      await restartOwners(cluster, hung);
       await pause(2 * heartbeatIntervalMs);
     }
     await pause(cancelDeadlineMs);
@@ -128,7 +132,7 @@
     const openOutside = cluster.runningOf(open).length - openTasksOn(hung);
     await cancelOnHungMachines(cluster, hung);
     await pause(1.5 * heartbeatIntervalMs);
-    await Promise.all([...ownersOf(cluster, hung)].map((owner) => cluster.restart(owner)));
+    await restartOwners(cluster, hung);
     await pause(cancelDeadlineMs);
     assert.ok(cluster.runningOf(open).length >= openOutside);
   },
@@ -148,7 +152,7 @@
     }
     assert.equal(await cluster.cancelUntilEnded(cancelled), 'cancelled');
     await pause(heartbeatIntervalMs);
-    await Promise.all([...ownersOf(cluster, workers)].map((owner) => cluster.restart(owner)));
+    await restartOwners(cluster, workers);
     await pause(cancelDeadlineMs * 1.2);
   },
 );
--- a/src/ladder/failure-observer.test.ts
+++ b/src/ladder/failure-observer.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 
 import { JobIndex } from '../placement/job-index.js';
-import { jobSpec, leasedMachine, pool } from '../testing/pools.js';
+import { jobSpec } from '../testing/job-specs.js';
+import { leasedMachine, pool } from '../testing/pools.js';
 import type { LeasedMachine } from '../wire/block-records.js';
 import { jobRecord } from '../wire/job-records.js';
 import { jobKey, ledgerKey } from '../wire/keys.js';
--- a/src/placement/block-machines.test.ts
+++ b/src/placement/block-machines.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { jobSpec } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { createJobState, placeAll } from '../testing/job-states.js';
 import type { BlockRecord, LeasedMachine } from '../wire/block-records.js';
 import { BlockMachines } from './block-machines.js';
@@ -23,7 +23,7 @@
 test("a machine missing from the block's record is removed if no tasks are assigned to it, and drained otherwise", () => {
   const machines = new BlockMachines(() => 0, 1000);
   machines.applyRecord(recordOf('m1', 'm2'));
-  const job = createJobState(jobSpec('req-1', 1));
+  const job = createJobState(jobSpec('req-1', { tasks: 1 }));
   placeAll(job, 'm2');
   for (const task of job.tasks.values()) machines.ensure('m2').tasks.set(keyOfTask(task), task);
   machines.applyRecord(recordOf());
--- a/src/placement/ledger-layout.test.ts
+++ b/src/placement/ledger-layout.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, test } from 'node:test';
 
-import { jobSpec } from '../testing/block-fixture.js';
 import { InMemoryStore } from '../testing/in-memory-store.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { loadReplica } from '../testing/load-replica.js';
 import { testSettings } from '../testing/settings.js';
 import { jsonSizeBytes } from '../wire/codec.js';
@@ -36,7 +36,7 @@
 
 async function storeWithLegacyPage(): Promise<InMemoryStore> {
   const store = new InMemoryStore();
-  const spec = jobSpec(id, tasks);
+  const spec = jobSpec(id, { tasks });
   await store.commit(
     'duty',
     [],
--- a/src/placement/machine-state.test.ts
+++ b/src/placement/machine-state.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 
 import { taskKey } from '../model/types.js';
-import { emptyHeartbeat, jobSpec, machineToken } from '../testing/block-fixture.js';
+import { emptyHeartbeat, machineToken } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { addPlacedJob, createBlockWithMachine } from '../testing/job-states.js';
 import type { ReconciliationStatus } from './reconciliation.js';
 
@@ -34,7 +35,7 @@
   assert.equal(sendHeartbeat(2, machineToken), 'reconciled');
   assert.equal(machine.oneWayPartitionSince(), undefined);
   // A start command was sent, but the next heartbeat does not report the task.
-  const job = addPlacedJob(blockState, jobSpec('req-1', 1), machine);
+  const job = addPlacedJob(blockState, jobSpec('req-1', { tasks: 1 }), machine);
   const task = job.tasks.get(0);
   assert.ok(task);
   assert.equal(machine.oneWayPartitionSince(), undefined);
--- a/src/placement/page-snapshot.test.ts
+++ b/src/placement/page-snapshot.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { jobSpec, valueBytes } from '../testing/block-fixture.js';
+import { valueBytes } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { createJobState, placeAll } from '../testing/job-states.js';
 import { jsonSizeBytes } from '../wire/codec.js';
 import { ledgerPage } from '../wire/ledger-records.js';
@@ -13,8 +14,8 @@
 test('each page of the ledger fits into one value of the store, however many tasks the block runs', () => {
   const ledger = new Ledger(valueBytes);
   for (let i = 0; i < 40; i++)
-    placeAll(createJobState(jobSpec(`req-${100_000 + i}`, 1 + i * 8), ledger), 'vm-000001');
-  placeAll(createJobState(jobSpec('req-200000', 3000), ledger), 'vm-000002');
+    placeAll(createJobState(jobSpec(`req-${100_000 + i}`, { tasks: 1 + i * 8 }), ledger), 'vm-000001');
+  placeAll(createJobState(jobSpec('req-200000', { tasks: 3000 }), ledger), 'vm-000002');
   let tasks = 0;
   for (const page of ledger.pages.values()) {
     const { entries, placing } = snapshotPage(page, Infinity, () =>
@@ -29,7 +30,7 @@
 
 test('one commit of a page places tasks of no more than the given maximum number of jobs', () => {
   const ledger = new Ledger(valueBytes);
-  const jobs = ['req-1', 'req-2', 'req-3'].map((id) => createJobState(jobSpec(id, 2), ledger));
+  const jobs = ['req-1', 'req-2', 'req-3'].map((id) => createJobState(jobSpec(id, { tasks: 2 }), ledger));
   for (const job of jobs) placeAll(job, 'vm-1');
   const page = ledger.page(0);
   const snapshot = snapshotPage(page, 2, (task) => task.job.unassignTask(task, 0));
@@ -47,8 +48,8 @@
   const ledger = new Ledger(600);
   const layout = { chunkTasks: 20, isLegacy: false };
   const [firstJob, secondJob] = [
-    createJobState(jobSpec('req-1', 20), ledger, layout),
-    createJobState(jobSpec('req-2', 20), ledger, layout),
+    createJobState(jobSpec('req-1', { tasks: 20 }), ledger, layout),
+    createJobState(jobSpec('req-2', { tasks: 20 }), ledger, layout),
   ];
   for (const [i, job] of [firstJob, secondJob].entries()) {
     // Every task is on a machine with a different name, and these names cannot be shortened to numbers.
@@ -76,8 +77,8 @@
 test('unchanged entries are not rebuilt for the next commit, and an ended job is removed from its page', () => {
   const ledger = new Ledger(valueBytes);
   const [firstJob, secondJob] = [
-    createJobState(jobSpec('req-1', 2), ledger),
-    createJobState(jobSpec('req-2', 2), ledger),
+    createJobState(jobSpec('req-1', { tasks: 2 }), ledger),
+    createJobState(jobSpec('req-2', { tasks: 2 }), ledger),
   ];
   for (const job of [firstJob, secondJob]) placeAll(job, 'vm-1');
   const page = ledger.page(0);
--- a/src/placement/placement-round.test.ts
+++ b/src/placement/placement-round.test.ts
@@ -2,8 +2,8 @@
 import { test } from 'node:test';
 
 import { type JobSpec, taskKey } from '../model/types.js';
-import { jobSpec } from '../testing/block-fixture.js';
 import { machineType } from '../testing/cloud-standin.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { createJobState, createMachineState } from '../testing/job-states.js';
 import { testSettings } from '../testing/settings.js';
 import { parseMachineTypes } from '../wire/cloud.js';
@@ -40,7 +40,7 @@
 // it would fill the regular machines, although it could have waited for a spot machine.
 test('jobs that may use spot machines are not placed on regular machines while there is a spot machine, even a full one', () => {
   const machines = [createMachineState('m1', { spot: true }), createMachineState('m2')];
-  const job = createJobState({ ...jobSpec('req-1', 6), spot: true });
+  const job = createJobState({ ...jobSpec('req-1', { tasks: 6 }), spot: true });
   const place = (): string[] => {
     const spotTypes = new Set(machines.some((machine) => machine.info.spot) ? ['c8'] : []);
     const placements = runRound([job], machines, { spotTypes, maxTasks: 9 });
@@ -57,10 +57,10 @@
 // dropped this machine from its candidates after the larger job, the smaller job would not be placed.
 test('a placement round places a smaller job if a larger job before it found no room, and skips teams at their limit', () => {
   const jobs = [
-    { ...jobSpec('req-1', 1), cpus: 6, team: 'blue' },
-    { ...jobSpec('req-2', 1), cpus: 6, team: 'blue' },
-    { ...jobSpec('req-3', 1), cpus: 1, team: 'red' },
-    { ...jobSpec('req-4', 1), cpus: 1, team: 'blue' },
+    { ...jobSpec('req-1', { tasks: 1 }), cpus: 6, team: 'blue' },
+    { ...jobSpec('req-2', { tasks: 1 }), cpus: 6, team: 'blue' },
+    { ...jobSpec('req-3', { tasks: 1 }), cpus: 1, team: 'red' },
+    { ...jobSpec('req-4', { tasks: 1 }), cpus: 1, team: 'blue' },
   ].map((spec) => createJobState(spec));
   const usage = new TeamUsage();
   usage.add('red', { cpus: 32, accelerators: 0, memoryGb: 0 });
@@ -76,7 +76,7 @@
 // tasks. The round would then place tasks of a colocated job outside the zone of the job's other tasks.
 test('a placement round places tasks of colocated and spread jobs only in zones that their placed tasks allow', () => {
   const zonesOf = (overrides: Partial<JobSpec>, placedOn: string[]): string[] => {
-    const job = createJobState({ ...jobSpec('req-1', 4), ...overrides });
+    const job = createJobState({ ...jobSpec('req-1', { tasks: 4 }), ...overrides });
     const machines = new Map(
       ['a', 'b', ''].map((zone) => [`m-${zone}`, createMachineState(`m-${zone}`, { zone })]),
     );
--- a/src/placement/team-quotas.test.ts
+++ b/src/placement/team-quotas.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
-import { jobSpec } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { createJobState } from '../testing/job-states.js';
 import { testSettings } from '../testing/settings.js';
 import { TeamQuotas } from './team-quotas.js';
@@ -9,7 +9,7 @@
 
 // In the test settings, team `red` has a limit of 32 CPUs and team `blue` has no CPU limit. Neither team has
 // a limit on accelerators.
-const need = createJobState(jobSpec('req-1', 1)).need;
+const need = createJobState(jobSpec('req-1', { tasks: 1 })).need;
 
 test('a block without a share of a team’s limit may not use any of this limit', () => {
   const quotas = new TeamQuotas(testSettings().teams);
--- a/src/testing/block-fixture.ts
+++ b/src/testing/block-fixture.ts
@@ -4,7 +4,7 @@
  */
 import { nextEventLoopIteration } from '../base/event-loop.js';
 import { silentLog } from '../base/log.js';
-import type { JobSpec, Heartbeat } from '../model/types.js';
+import type { Heartbeat } from '../model/types.js';
 import { BlockState } from '../placement/block-state.js';
 import { JobIndex } from '../placement/job-index.js';
 import type { Task } from '../placement/job-state.js';
@@ -19,6 +19,7 @@
 import type { Condition } from '../wire/state.js';
 import type { MachineState } from '../placement/machine-state.js';
 import { machineType } from './cloud-standin.js';
+import { jobSpec } from './job-specs.js';
 import { testSettings } from './settings.js';
 
 /** Maximum size of a value in the state service in these tests, in bytes. */
@@ -34,32 +35,6 @@
 /** The fencing token of the machines m1 and m2. */
 export const machineToken = 7;
 
-/** A job of team `red`, which has a quota. Each task needs 2 CPUs. */
-export function jobSpec(id: string, tasks: number): JobSpec {
-  return {
-    id,
-    jobClass: 'x',
-    team: 'red',
-    urgency: 'standard',
-    tasks,
-    cpus: 2,
-    accelerators: 0,
-    memoryGb: 2,
-    image: 'i',
-    imageGb: 1,
-    machineTypes: null,
-    zone: null,
-    colocated: false,
-    spread: false,
-    spot: false,
-    estimatedRunS: 10,
-    checkpointIntervalS: 0,
-    checkpointSaveS: 0,
-    deadlineS: null,
-    acceptedAt: 0,
-  };
-}
-
 /** A heartbeat of a machine without tasks. */
 export function emptyHeartbeat(machine: string, seq: number): Omit<Heartbeat, 'fencingToken'> {
   const place = { address: 'x', type: 'c8', zone: 'a', spot: false, preemptionNoticeS: null };
@@ -126,7 +101,7 @@
     jobIndex: new JobIndex(() => 0),
     machineTypes: () => new Map(parseMachineTypes({ hulls: [machineType] }).map((t) => [t.name, t])),
   });
-  const record = { spec: { ...jobSpec(jobId, tasks), team }, parts: [[0, 0, tasks]] };
+  const record = { spec: { ...jobSpec(jobId, { tasks }), team }, parts: [[0, 0, tasks]] };
   const fixture: BlockFixture = {
     blockState,
     scheduler,
--- a/src/testing/pools.ts
+++ b/src/testing/pools.ts
@@ -1,9 +1,9 @@
 /**
- * Creates machine types, machines, pools and jobs for the tests of the autoscaler. A pool consists of the
+ * Creates machine types, machines and pools for the tests of the autoscaler. A pool consists of the
  * machines of one type and kind (spot or ordinary) and of the tasks that count as demand for these machines.
  */
 import type { Pool } from '../ladder/pools.js';
-import type { JobSpec, MachineType } from '../model/types.js';
+import type { MachineType } from '../model/types.js';
 import type { LeasedMachine } from '../wire/block-records.js';
 
 export function machineType(change: Partial<MachineType> = {}): MachineType {
@@ -48,33 +48,3 @@
     ...change,
   };
 }
-
-/**
- * Creates a job of team `red`. A slot, the unit of demand, is an eighth of a machine of the type above. Each
- * task needs two slots.
- */
-export function jobSpec(id: string, change: Partial<JobSpec> = {}): JobSpec {
-  return {
-    id,
-    jobClass: 'x',
-    team: 'red',
-    urgency: 'standard',
-    tasks: 4,
-    cpus: 2,
-    accelerators: 0,
-    memoryGb: 2,
-    image: 'i',
-    imageGb: 1,
-    machineTypes: null,
-    zone: null,
-    colocated: false,
-    spread: false,
-    spot: false,
-    estimatedRunS: 10,
-    checkpointIntervalS: 0,
-    checkpointSaveS: 0,
-    deadlineS: null,
-    acceptedAt: 0,
-    ...change,
-  };
-}
--- a/src/workers/ended-job-stops.test.ts
+++ b/src/workers/ended-job-stops.test.ts
@@ -5,12 +5,13 @@
 import { nextEventLoopIteration } from '../base/event-loop.js';
 import type { Reply } from '../base/replies.js';
 import type { MachineState } from '../placement/machine-state.js';
-import { jobSpec, machineToken } from '../testing/block-fixture.js';
+import { machineToken } from '../testing/block-fixture.js';
 import {
   createHeartbeatFixture,
   type HeartbeatFixture,
   sendHeldResponses,
 } from '../testing/heartbeat-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { seeded } from '../testing/seeded.js';
 import { jobKey, outcomeKey } from '../wire/keys.js';
 
@@ -164,7 +165,10 @@
     const { stored, blockState } = this.fixture;
     stored.set(jobKey(id), { value: {}, version: 3 });
     if (origin === 'in block' || origin === 'ended in block') {
-      const value = { spec: { ...jobSpec(id, tasksPerJob), team: 'blue' }, parts: [[0, 0, tasksPerJob]] };
+      const value = {
+        spec: { ...jobSpec(id, { tasks: tasksPerJob }), team: 'blue' },
+        parts: [[0, 0, tasksPerJob]],
+      };
       blockState.applyChanges([{ key: jobKey(id), value, version: 3, deleted: false }]);
     }
     if (origin === 'ended in block') endJob(this.fixture, id);
--- a/src/workers/straggler-detection.test.ts
+++ b/src/workers/straggler-detection.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'node:test';
 
 import type { TaskState, WorkerCommand } from '../model/types.js';
-import { emptyHeartbeat, jobSpec, machineToken } from '../testing/block-fixture.js';
+import { emptyHeartbeat, machineToken } from '../testing/block-fixture.js';
+import { jobSpec } from '../testing/job-specs.js';
 import { addPlacedJob, createBlockWithMachine } from '../testing/job-states.js';
 import { findStragglers } from './straggler-detection.js';
 
@@ -11,7 +12,7 @@
 test('a task that runs several times as long as the other tasks of its job is stopped', () => {
   let now = 0;
   const { blockState, machine } = createBlockWithMachine(() => now);
-  addPlacedJob(blockState, jobSpec('req-1', 4), machine);
+  addPlacedJob(blockState, jobSpec('req-1', { tasks: 4 }), machine);
   const applyHeartbeat = (sequence: number, states: TaskState[]): WorkerCommand[] => {
     const tasks = states.map((state, index) => ({
       job: 'req-1',
