Let no listed outcome replace a stored one, and repeat releases in every branch

A stored outcome of an earlier version has no time either, and a listing of the same outcome, which lacks the number of tasks as well, replaced it; only an outcome with its time replaces one now (the new assertion of the replica's test fails without this). While all workers are unreachable, or the state service is down for all, only machines marked for overdue tasks were requested again, so a machine that was marked before and whose release got no answer had to wait; every marked machine is requested again now, as before in the usual case.

--- a/src/store/store-replica.test.ts
+++ b/src/store/store-replica.test.ts
@@ -55,6 +55,11 @@
   replica.recordOutcome(`end/${read}`, listed);
   assert.deepEqual(replica.outcomeOf(read), complete);
   assert.deepEqual(notified, [`end/${watched}`, `end/${read}`]);
+  // An earlier version stored the outcome without its time, but with the number of tasks.
+  const earlier = { value: { end: 'cancelled', tasks: 2 }, version: 8 };
+  replica.recordOutcome('end/req-3', earlier);
+  replica.recordOutcome('end/req-3', listed);
+  assert.deepEqual(replica.get('end/req-3'), earlier);
 });
 
 // A controller commits a job record. The watch delivers the deletion of the record before the controller adds
--- a/src/store/store-replica.ts
+++ b/src/store/store-replica.ts
@@ -216,8 +216,8 @@
    */
   private completeOutcome({ key, value, version }: Item): void {
     const recorded = this.outcomes.get(key);
-    if (recorded && parseOutcome(recorded.value)?.endedAt === undefined)
-      this.outcomes.set(key, { value, version });
+    if (!recorded || hasEndTime(recorded.value) || !hasEndTime(value)) return;
+    this.outcomes.set(key, { value, version });
   }
 
   private cacheOutcome(key: string, entry: StoredValue): void {
@@ -233,6 +233,10 @@
   }
 }
 
+function hasEndTime(outcome: unknown): boolean {
+  return parseOutcome(outcome)?.endedAt !== undefined;
+}
+
 function isOutcomeKey(key: string): boolean {
   return key.startsWith(outcomePrefix);
 }
--- a/src/workers/cancelled-tasks.ts
+++ b/src/workers/cancelled-tasks.ts
@@ -93,16 +93,17 @@
 }
 
 /**
- * Returns the ids of ended jobs with tasks on the machine whose outcome has to be read from the store: it is
+ * Returns the ids of the jobs of ended tasks on the machine whose outcome has to be read from the store: it is
  * unknown, or a peer has listed the cancellation without its time.
  */
 export function jobsWithUnreadOutcome(machine: MachineState, outcomeOf: OutcomeLookup): string[] {
-  const ids = new Set<string>();
-  for (const { job } of endedTasks(machine)) ids.add(job.id);
-  return [...ids].filter((id) => {
-    const record = outcomeOf(id);
-    return record === undefined || (record.outcome === 'cancelled' && record.endedAt === undefined);
-  });
+  const ids: string[] = [];
+  for (const { job } of endedTasks(machine)) {
+    const record = outcomeOf(job.id);
+    const isListedOnly = record?.outcome === 'cancelled' && record.endedAt === undefined;
+    if (record === undefined || isListedOnly) ids.push(job.id);
+  }
+  return ids;
 }
 
 /** The tasks of ended jobs that are, or may be, on the machine. A task in phase `placing` was never started. */
--- a/src/workers/health-monitor.ts
+++ b/src/workers/health-monitor.ts
@@ -46,7 +46,7 @@
  * machines on which tasks of cancelled jobs may outlast their deadline. The cloud's response to the release
  * proves that the tasks of these machines no longer run. Delays of this controller itself do not count as
  * silence of the machines. If all workers are unreachable, or if the store is down for all controllers, only
- * machines with tasks of cancelled jobs are released. If the store is unreachable otherwise, no machine is
+ * tasks of cancelled jobs are a reason for a release. If the store is unreachable otherwise, no machine is
  * released.
  */
 export class HealthMonitor {
@@ -76,28 +76,15 @@
       this.storeReachableSince = clock();
       // Another controller may have leased the block, unless the store serves no controller. The tasks that a
       // release requeues cannot be started before the store is reachable.
-      if (isStoreDownForAll()) await this.releaseOverdue(ownDelays);
-    } else if (this.isPartitionedFromWorkers()) {
-      onNoHeartbeats();
-      await this.releaseOverdue(ownDelays);
-    } else {
-      markFailedMachines(this.machines(), clock(), this.ports);
-      this.cancelledTasks.markOverdue(this.machines(), clock());
-      await this.release(
-        this.machines().filter(({ releaseReason }) => releaseReason !== undefined),
-        ownDelays,
-      );
-    }
-  }
-
-  /** Releases only machines on which tasks of cancelled jobs may outlast their deadline. */
-  private async releaseOverdue(ownDelays: ControllerDelays): Promise<void> {
-    this.cancelledTasks.markOverdue(this.machines(), this.ports.clock());
-    const overdue = this.machines().filter(({ releaseReason }) => releaseReason === 'cancelled-task');
-    await this.release(overdue, ownDelays);
+      if (!isStoreDownForAll()) return;
+    } else if (this.isPartitionedFromWorkers()) onNoHeartbeats();
+    else markFailedMachines(this.machines(), clock(), this.ports);
+    this.cancelledTasks.markOverdue(this.machines(), clock());
+    await this.releaseMarked(ownDelays);
   }
 
-  private async release(marked: MachineState[], ownDelays: ControllerDelays): Promise<void> {
+  private async releaseMarked(ownDelays: ControllerDelays): Promise<void> {
+    const marked = this.machines().filter(({ releaseReason }) => releaseReason !== undefined);
     if (marked.length === 0) return;
     await releaseMarkedMachines(marked, this.ports);
     // The wait for the response of the cloud is not a delay of this controller.
