Check the structure of received messages before they are decoded

What callers saw: a submission of ten bytes, two lists that claim 33,554,432 entries each, ended the controller that received it, then the next one that received its repetition. Requests stayed unanswered.

Cause: the library creates a list with the length that its header claims, before it reads an entry, and creates objects of extensions that no protocol uses. What a message cost depended on what it claimed. Any of the paths that decode could end the process. Besides claimed counts, maps with sparse numeric keys do the same without any claim: 63 kB of them took 112 MB, because the engine keeps numeric properties in an array up to the largest.

Fix: one pass over the bytes before each decoding, without recursion. The sum of all claimed values has to fit into the bytes that are left, nesting is limited, extensions, reserved bytes, keys that are no text and text that is not UTF-8 are refused, and the memory of the decoded message is counted against a constant times its length. A refusal is a MalformedMessageError. Users and workers get 400 with the reason on every path; a reply of the state service or the cloud counts as none, also if it is larger than the heap allows, in which case a watch asks for all keys to be read again. Refused messages are logged at a limited rate for each kind of sender.

A job that an earlier version accepted stays known: the id of a refused submission is read from its bytes, and a known job gets its status instead of 400. Text of stored records that is not UTF-8 is read with replacement characters. Submissions are parsed up to the first invalid field only, since the library collected a report for each entry of a list.

Evidence: malformed-messages.test.ts runs three processes with the run command of deploy/service.toml.

--- a/src/base/direct-connections.test.ts
+++ b/src/base/direct-connections.test.ts
@@ -83,6 +83,7 @@
     fastPathRoutes: [heartbeat, health],
     loadHandler,
     log: silentLog,
+    onRefusal: () => undefined,
     host: '127.0.0.1',
     port,
   };
@@ -166,6 +167,7 @@
     port: port + 1,
     fastPathRoutes: [heartbeat, health],
     log: silentLog,
+    onRefusal: () => undefined,
     load,
   };
   const loadHandler = (): Promise<RequestHandler> =>
--- a/src/base/direct-connections.ts
+++ b/src/base/direct-connections.ts
@@ -10,6 +10,7 @@
 import type { Clock } from './clock.js';
 import type { ConnectionLoad } from './connection-load.js';
 import type { Log } from './log.js';
+import type { OnRefusal } from './refusals.js';
 import { type FastPathRoute, handleFastPath, maxBodyBytes, type Reply, replyHeaders } from './replies.js';
 import { TimeSlicedQueue } from './time-sliced-queue.js';
 
@@ -54,6 +55,8 @@
 export interface DirectConnectionsOptions {
   routes: FastPathRoute[];
   log: Log;
+  /** Receives each request whose body is malformed. */
+  onRefusal: OnRefusal;
   clock: Clock;
   /** Maximum time in milliseconds that one event-loop iteration spends on queued requests. */
   turnBudgetMs: number;
@@ -125,7 +128,7 @@
   }
 
   private serve(socket: Socket, route: FastPathRoute, body: Buffer, answer: (reply: Reply) => void): void {
-    const run = (): void => handleFastPath(route, body, answer, this.options.log);
+    const run = (): void => handleFastPath({ route, bytes: body, socket, answer }, this.options);
     if (route.queued === true) this.queue.add({ isStillNeeded: () => !socket.destroyed, run });
     else run();
   }
--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -8,6 +8,7 @@
 import type { ConnectionLoad } from './connection-load.js';
 import { DirectConnections } from './direct-connections.js';
 import type { Log } from './log.js';
+import type { OnRefusal } from './refusals.js';
 import {
   type FastPathRoute,
   handleFastPath,
@@ -30,6 +31,8 @@
    */
   loadHandler: () => Promise<RequestHandler>;
   log: Log;
+  /** Receives each request of a fast-path route whose body is malformed. */
+  onRefusal: OnRefusal;
   host: string;
   port: number;
   clock: Clock;
@@ -83,7 +86,7 @@
   const serveOther = createLazyHandler(options);
   return (request, response) => {
     const route = routes.get(`${request.method ?? ''} ${request.url ?? ''}`);
-    if (route) serveFastPath(route, request, response, options.log);
+    if (route) serveFastPath(route, request, response, options);
     else serveOther(request, response);
   };
 }
@@ -108,13 +111,14 @@
   route: FastPathRoute,
   request: IncomingMessage,
   response: ServerResponse,
-  log: Log,
+  options: HttpServerOptions,
 ): void {
+  const { socket } = request;
   const answer = (reply: Reply): void => {
     if (!response.headersSent && !response.destroyed) send(response, reply);
   };
   if (route.method === 'GET') {
-    handleFastPath(route, undefined, answer, log);
+    handleFastPath({ route, bytes: undefined, socket, answer }, options);
     return;
   }
   let bytes: Buffer | undefined;
@@ -124,7 +128,7 @@
     request.pause();
     answer(tooLargeReply);
   });
-  request.on('end', () => handleFastPath(route, bytes, answer, log));
+  request.on('end', () => handleFastPath({ route, bytes, socket, answer }, options));
   // If the connection fails, the heartbeat on it is lost. The worker sends another heartbeat.
   request.on('error', () => undefined);
 }
--- a/src/base/http.test.ts
+++ b/src/base/http.test.ts
@@ -3,8 +3,9 @@
 import { after, before, describe, mock, test } from 'node:test';
 import { Worker } from 'node:worker_threads';
 
+import { testClient } from '../testing/test-client.js';
 import { nextEventLoopIteration } from './event-loop.js';
-import { ExchangeError, type ExchangeFailure, HttpClient } from './http.js';
+import { ExchangeError, type ExchangeFailure, type HttpClient } from './http.js';
 
 /**
  * Indexes into `slots`, the memory shared with the server's thread. Each index is named after an event. The
@@ -17,13 +18,18 @@
 
 /**
  * Source of a server with these paths: /silent never responds, /held responds after `mayAnswer` is set,
- * /malformed responds with an incomplete MessagePack array, and /lost closes the connection in the middle of
+ * /malformed responds with an incomplete MessagePack array, /large sends a body without an end, and /lost closes the connection in the middle of
  * the body. The server runs in a thread of its own, so that it can respond while this thread is blocked.
  */
 const serverSource = `
   const { parentPort, workerData: slots } = require('node:worker_threads');
   const server = require('node:http').createServer((request, response) => {
     if (request.url === '/malformed') return response.end(Buffer.from([0x92, 0x01]));
+    if (request.url === '/large') {
+      const send = () => { if (!response.destroyed && response.write(Buffer.alloc(65536))) setImmediate(send); };
+      response.on('drain', send);
+      return send();
+    }
     if (request.url === '/lost') {
       response.writeHead(200, { 'content-length': 2 });
       response.write(Buffer.from([0x01]), () => setTimeout(() => response.destroy(), 20));
@@ -59,7 +65,7 @@
   let client: HttpClient;
   before(async () => {
     const [port] = (await once(server, 'message')) as [number];
-    client = new HttpClient(`127.0.0.1:${port}`, 2);
+    client = testClient(`127.0.0.1:${port}`, 2, { maxBytes: 1_000_000, maxMemoryBytes: Infinity });
     await client.exchange('GET', '/warm-up', undefined, { timeoutMs: maxWaitMs });
   });
   after(async () => {
@@ -117,5 +123,6 @@
     assert.equal(await failureOf('/silent', timeoutMs), 'timed-out');
     assert.equal(await failureOf('/malformed', maxWaitMs), 'malformed');
     assert.equal(await failureOf('/lost', maxWaitMs), 'connection-lost');
+    assert.equal(await failureOf('/large', maxWaitMs), 'too-large');
   });
 });
--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -1,9 +1,12 @@
 /** The HTTP client: sends MessagePack requests to one address over kept-alive connections. */
 import { Agent, type ClientRequest, type IncomingMessage, request } from 'node:http';
 
-import { decode, encode } from '../wire/codec.js';
+import { encode } from '../wire/codec.js';
+import { MalformedMessageError } from '../wire/message-errors.js';
+import type { DecodeLimits } from '../wire/message-scanner.js';
 import { onAbort } from './abort-callbacks.js';
 import { nextEventLoopIteration } from './event-loop.js';
+import type { OnRefusal, RefusalSource } from './refusals.js';
 import { parseSocketAddress } from './socket-address.js';
 
 /** An HTTP response with any status. */
@@ -22,13 +25,14 @@
 }
 
 /** Why an exchange ended without a usable response. */
-export type ExchangeFailure = 'cancelled' | 'timed-out' | 'connection-lost' | 'malformed';
+export type ExchangeFailure = 'cancelled' | 'timed-out' | 'connection-lost' | 'malformed' | 'too-large';
 
 const failureMessages: Record<ExchangeFailure, string> = {
   cancelled: 'exchange cancelled',
   'timed-out': 'no response within the time-out',
   'connection-lost': 'connection closed before the end of the response',
-  malformed: 'response body is not valid MessagePack',
+  malformed: 'response body is malformed',
+  'too-large': 'response body is larger than this client accepts',
 };
 
 /**
@@ -45,6 +49,20 @@
   }
 }
 
+/** How a client reads the responses of its server. */
+export interface ResponseReading {
+  limits: DecodeLimits;
+  /**
+   * Decodes a response body.
+   * @throws MalformedMessageError if the body is malformed or exceeds the limits
+   */
+  decode: (bytes: Buffer, limits: DecodeLimits) => unknown;
+  /** The kind of the server. */
+  source: RefusalSource;
+  /** Receives each response whose body is malformed or exceeds the limits. */
+  onRefusal?: OnRefusal | undefined;
+}
+
 /** A client for the HTTP server at one address. */
 export class HttpClient {
   private readonly agent: Agent;
@@ -55,8 +73,13 @@
    * Creates a client. The first exchange opens a connection.
    * @param address `host:port` of the server
    * @param sockets the maximum number of open connections; further exchanges wait for a free connection
+   * @param reading the limits of the responses, and how they are decoded
    */
-  constructor(address: string, sockets: number) {
+  constructor(
+    private readonly address: string,
+    sockets: number,
+    private readonly reading: ResponseReading,
+  ) {
     const { host, port } = parseSocketAddress(address);
     this.host = host;
     this.port = port;
@@ -84,7 +107,9 @@
         reject(error);
       };
       clientRequest.on('error', fail);
-      clientRequest.on('response', (response) => readResponse(response, succeed, fail));
+      clientRequest.on('response', (response) => {
+        this.readResponse(response, path).then(succeed, fail);
+      });
       // A string body with one character per byte is sent in one write together with the head. If the body
       // were a Buffer, head and body would be sent as a list of two chunks.
       if (payload === undefined) clientRequest.end();
@@ -97,6 +122,20 @@
     this.agent.destroy();
   }
 
+  private async readResponse(response: IncomingMessage, path: string): Promise<HttpResponse> {
+    const { limits, decode: decodeResponse, source, onRefusal } = this.reading;
+    const status = response.statusCode ?? 0;
+    const bytes = await readBody(response, limits.maxBytes);
+    if (bytes.length === 0) return { status, body: undefined };
+    try {
+      return { status, body: decodeResponse(bytes, limits) };
+    } catch (error) {
+      if (!(error instanceof MalformedMessageError)) throw error;
+      onRefusal?.({ source, path, sender: this.address, error, bytes });
+      throw new ExchangeError(exceedsLimit(error) ? 'too-large' : 'malformed', { cause: error });
+    }
+  }
+
   private createRequest(method: string, path: string, payload: Buffer | undefined): ClientRequest {
     const headers =
       payload === undefined
@@ -129,27 +168,26 @@
 }
 
 /**
- * Reads the whole response, then calls `succeed` or `fail`. May make several such calls; all but the first
- * have no effect.
+ * Reads the whole body of a response.
+ * @throws ExchangeError if the connection is lost before the end of the body, or the body is too large
  */
-function readResponse(
-  response: IncomingMessage,
-  succeed: (answer: HttpResponse) => void,
-  fail: (error: Error) => void,
-): void {
-  const chunks: Buffer[] = [];
-  response.on('data', (chunk: Buffer) => chunks.push(chunk));
-  response.on('error', fail);
-  response.on('aborted', () => fail(new ExchangeError('connection-lost')));
-  response.on('end', () => {
-    let body: unknown;
-    try {
-      const bytes = Buffer.concat(chunks);
-      body = bytes.length > 0 ? decode(bytes) : undefined;
-    } catch (error) {
-      fail(new ExchangeError('malformed', { cause: error }));
-      return;
-    }
-    succeed({ status: response.statusCode ?? 0, body });
+function readBody(response: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    response.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size <= maxBytes) return;
+      reject(new ExchangeError('too-large'));
+      response.destroy();
+    });
+    response.on('error', reject);
+    response.on('aborted', () => reject(new ExchangeError('connection-lost')));
+    response.on('end', () => resolve(Buffer.concat(chunks)));
   });
 }
+
+function exceedsLimit({ reason }: MalformedMessageError): boolean {
+  return reason === 'too-large' || reason === 'too-expensive';
+}
--- a/src/base/replies.ts
+++ b/src/base/replies.ts
@@ -1,8 +1,12 @@
 /** Routes of the HTTP server and their replies. */
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { decode, encode } from '../wire/codec.js';
+import { MalformedMessageError } from '../wire/message-errors.js';
 import type { Log } from './log.js';
+import type { OnRefusal } from './refusals.js';
+import { senderOf } from './socket-address.js';
 
 /** The response of a route. */
 export interface Reply {
@@ -24,6 +28,10 @@
   path: RegExp;
   /** `body` is undefined if the request has none. `params` are the capture groups of `path`. */
   handle: (body: unknown, params: string[]) => Reply | Promise<Reply>;
+  /**
+   * Replies to a request whose body is malformed. `refusal` is the reply by default. `body` is not decoded.
+   */
+  handleMalformed?: (body: Buffer, refusal: Reply) => Reply | Promise<Reply>;
 }
 
 /**
@@ -50,8 +58,10 @@
 /** Reply to a request whose body is larger than `maxBodyBytes`. */
 export const tooLargeReply: Reply = { status: 413, body: { error: 'body over 64 KiB' }, close: true };
 
-/** Reply to a request whose body is not valid MessagePack. */
-export const malformedReply: Reply = { status: 400, body: { error: 'not MessagePack' } };
+/** Returns the reply to a request whose body is malformed. */
+export function malformedReply({ reason, offset }: MalformedMessageError): Reply {
+  return { status: 400, body: { error: `malformed body: ${reason} at byte ${offset}` } };
+}
 
 /** Reply to a request whose route threw an error. */
 export const unavailableReply: Reply = { status: 503, body: { error: 'trouble' }, retryAfterS: 1 };
@@ -76,35 +86,48 @@
   response.end(body.toString('latin1'), 'latin1');
 }
 
-/**
- * Decodes a request body. For an empty body, `body` of the result is undefined. If the bytes are not valid
- * MessagePack, the result itself is undefined.
- */
-export function decodeBody(bytes: Buffer | undefined): { body: unknown } | undefined {
+/** A request body: decoded, undefined if the request has none, or the error if it is malformed. */
+export type DecodedBody = { body: unknown } | { error: MalformedMessageError };
+
+/** Decodes a request body. */
+export function decodeBody(bytes: Buffer | undefined): DecodedBody {
   try {
     return { body: bytes && bytes.length > 0 ? decode(bytes) : undefined };
-  } catch {
-    return undefined;
+  } catch (error) {
+    if (error instanceof MalformedMessageError) return { error };
+    throw error;
   }
 }
 
+/** A complete request for a route of the fast path. */
+export interface FastPathRequest {
+  route: FastPathRoute;
+  bytes: Buffer | undefined;
+  socket: Socket;
+  answer: (reply: Reply) => void;
+}
+
 /**
- * Calls the handler of the route with the decoded body of a complete request. If the handler throws, logs the
- * error and replies with status 503.
+ * Calls the handler of the route with the decoded body of the request. If the body is malformed, replies with
+ * status 400. If the handler throws, logs the error and replies with status 503.
  */
 export function handleFastPath(
-  route: FastPathRoute,
-  bytes: Buffer | undefined,
-  answer: (reply: Reply) => void,
-  log: Log,
+  { route, bytes, socket, answer }: FastPathRequest,
+  { log, onRefusal }: { log: Log; onRefusal: OnRefusal },
 ): void {
-  const decoded = decodeBody(bytes);
-  if (!decoded) {
-    answer(malformedReply);
-    return;
-  }
   try {
-    route.handle(decoded.body, answer);
+    const decoded = decodeBody(bytes);
+    if ('error' in decoded) {
+      const { error } = decoded;
+      onRefusal({
+        source: 'worker',
+        path: route.path,
+        sender: senderOf(socket),
+        error,
+        bytes: bytes ?? Buffer.alloc(0),
+      });
+      answer(malformedReply(error));
+    } else route.handle(decoded.body, answer);
   } catch (error) {
     log.error(
       { event: 'request-failed', path: route.path, err: error },
--- a/src/base/user-handler.ts
+++ b/src/base/user-handler.ts
@@ -2,12 +2,14 @@
  * The handler of the users' routes, which uses Koa. This module is loaded on demand, because loading Koa
  * takes most of the processor time that the start of the process needs.
  */
+import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 
 import Koa from 'koa';
 
 import type { RequestHandler } from './http-server.js';
 import type { Log } from './log.js';
+import type { OnRefusal } from './refusals.js';
 import {
   decodeBody,
   type FastPathRoute,
@@ -19,6 +21,7 @@
   tooLargeReply,
   unavailableReply,
 } from './replies.js';
+import { senderOf } from './socket-address.js';
 
 /** A request body is larger than `maxBodyBytes`. */
 class BodyTooLargeError extends Error {
@@ -68,16 +71,23 @@
 
 async function dispatchToRoute(
   routes: Route[],
-  method: string,
+  request: IncomingMessage,
   path: string,
-  stream: Readable,
+  onRefusal: OnRefusal,
 ): Promise<Reply> {
+  const { method, socket } = request;
   const routesOfPath = routes.filter((route) => route.path.test(path));
   const route = routesOfPath.find((candidate) => candidate.method === method);
   if (!route) return routesOfPath.length > 0 ? methodNotAllowedReply : notFoundReply;
-  const bytes = method === 'POST' ? await readBody(stream) : undefined;
+  const bytes = method === 'POST' ? await readBody(request) : undefined;
   const decoded = decodeBody(bytes);
-  if (!decoded) return malformedReply;
+  if ('error' in decoded) {
+    const { error } = decoded;
+    const body = bytes ?? Buffer.alloc(0);
+    onRefusal({ source: 'user', path, sender: senderOf(socket), error, bytes: body });
+    const refusal = malformedReply(error);
+    return route.handleMalformed ? route.handleMalformed(body, refusal) : refusal;
+  }
   return route.handle(decoded.body, route.path.exec(path)?.slice(1) ?? []);
 }
 
@@ -97,7 +107,7 @@
 export function createUserHandler(
   routes: Route[],
   fastPathRoutes: FastPathRoute[],
-  log: Log,
+  { log, onRefusal }: { log: Log; onRefusal: OnRefusal },
 ): RequestHandler {
   const app = new Koa();
   app.silent = true;
@@ -106,7 +116,7 @@
     try {
       reply = fastPathRoutes.some((route) => route.path === ctx.path)
         ? methodNotAllowedReply
-        : await dispatchToRoute(routes, ctx.method, ctx.path, ctx.req);
+        : await dispatchToRoute(routes, ctx.req, ctx.path, onRefusal);
     } catch (error) {
       reply = failureReply(error, ctx.path, log);
     }
--- a/src/cloud/client.test.ts
+++ b/src/cloud/client.test.ts
@@ -11,7 +11,7 @@
 
 function clientOf(port: number): CloudClient {
   const settings = { ...testSettings(), cloudAddress: `127.0.0.1:${port}` };
-  return new CloudClient(settings, () => 0, new AbortController().signal);
+  return new CloudClient({ settings, clock: () => 0, signal: new AbortController().signal });
 }
 
 async function serve(status: number, body: unknown): Promise<Server> {
--- a/src/cloud/client.ts
+++ b/src/cloud/client.ts
@@ -7,6 +7,8 @@
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
 import { HttpClient, type HttpResponse } from '../base/http.js';
+import type { OnRefusal } from '../base/refusals.js';
+import { replyLimits } from '../base/reply-limits.js';
 import { TokenBucket } from '../base/token-bucket.js';
 import type { CloudMachine, MachineType } from '../model/types.js';
 import type { Settings } from '../settings/settings.js';
@@ -18,6 +20,7 @@
   releaseBody,
   rentalBody,
 } from '../wire/cloud.js';
+import { decode } from '../wire/codec.js';
 import { CloudConnectionError, type CloudOperation, CloudStatusError } from './errors.js';
 
 /** The result of a rental request. */
@@ -53,12 +56,24 @@
 /** Maximum number of machines in one rental request; a limit of the cloud. */
 export const maxMachinesPerRental = 50;
 
+/** The settings and inputs of the client. */
+export interface CloudClientPorts {
+  /** Contains the address and the rate limit of the cloud. */
+  settings: Settings;
+  clock: Clock;
+  /** Cancels the requests in flight and all later requests. */
+  signal: AbortSignal;
+  /** Receives each response that is malformed or too large. Such a response counts as none. */
+  onRefusal?: OnRefusal;
+}
+
 /**
  * Sends requests to the cloud and delays them to stay within its rate limit. If no readable response arrives
  * or the status of the response is not 200, `machineTypes` and `listMachines` throw a `CloudError`. `rent`
  * and `release` never throw.
  */
 export class CloudClient {
+  private readonly signal: AbortSignal;
   private readonly httpClient: HttpClient;
   private readonly pacer: TokenBucket;
   /**
@@ -68,13 +83,10 @@
   private readonly requestNamePrefix = randomUUID();
   private rentalCount = 0;
 
-  /** `signal`: cancels the requests in flight and all later requests. */
-  constructor(
-    settings: Settings,
-    clock: Clock,
-    private readonly signal: AbortSignal,
-  ) {
-    this.httpClient = new HttpClient(settings.cloudAddress, maxConnections);
+  constructor({ settings, clock, signal, onRefusal }: CloudClientPorts) {
+    this.signal = signal;
+    const reading = { limits: replyLimits(), decode, source: 'cloud' as const, onRefusal };
+    this.httpClient = new HttpClient(settings.cloudAddress, maxConnections, reading);
     const ratePerS = settings.cloud.rps * requestRateShare;
     this.pacer = new TokenBucket(ratePerS, ratePerS, clock);
   }
--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -4,6 +4,7 @@
 
 import { monotonicClock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
+import { RefusalLog } from '../base/refusals.js';
 import { runRoutine } from '../base/routine.js';
 import { BootedMachines } from '../blocks/booted-machines.js';
 import type { OwnedBlocks } from '../blocks/owned-blocks.js';
@@ -57,6 +58,7 @@
   private readonly order: QueueOrder;
   private readonly bootedMachines: BootedMachines;
   private readonly membership: Membership;
+  private readonly refusalLog: RefusalLog;
   private readonly ownedBlocks: OwnedBlocks;
   private readonly machineEvents: MachineEvents;
   private readonly heartbeatLog: HeartbeatLog;
@@ -80,8 +82,10 @@
     setMaxListeners(0, signal);
     const { clock } = this;
     this.leaseTtlMs = controllerLeaseTtlMs(settings, operator);
-    this.state = new StateAccess({ clock, settings, signal, leaseTtlMs: this.leaseTtlMs });
-    this.cloud = new CloudClient(settings, clock, signal);
+    this.refusalLog = new RefusalLog(log, clock);
+    const onRefusal = this.refusalLog.record;
+    this.state = new StateAccess({ clock, settings, signal, onRefusal, leaseTtlMs: this.leaseTtlMs });
+    this.cloud = new CloudClient({ settings, clock, signal, onRefusal });
     this.machineTypes = new MachineTypeCatalog(this.cloud);
     this.order = new QueueOrder(settings.objectives, settings.heartbeatIntervalMs * minObjectiveHeartbeats);
     this.bootedMachines = this.createBootedMachines();
@@ -266,6 +270,7 @@
       log: this.log,
       settings: this.settings,
       state: this.state,
+      onRefusal: this.refusalLog.record,
       heartbeatLog: this.heartbeatLog,
       intake: this.intake,
       ownedBlocks: this.ownedBlocks,
--- a/src/controller/http-service.ts
+++ b/src/controller/http-service.ts
@@ -6,6 +6,7 @@
 import { ConnectionLoad } from '../base/connection-load.js';
 import { type RequestHandler, serveHttp } from '../base/http-server.js';
 import type { Log } from '../base/log.js';
+import type { OnRefusal } from '../base/refusals.js';
 import { parseSocketAddress } from '../base/socket-address.js';
 import type { BlockRegistry } from '../blocks/block-registry.js';
 import type { OwnedBlocks } from '../blocks/owned-blocks.js';
@@ -22,6 +23,8 @@
 export interface HttpServicePorts {
   clock: Clock;
   log: Log;
+  /** Receives each request whose body is malformed. */
+  onRefusal: OnRefusal;
   heartbeatLog: Pick<HeartbeatLog, 'record'>;
   settings: Settings;
   intake: Pick<Intake, 'routes' | 'health'>;
@@ -68,17 +71,18 @@
 
   /** Serves requests until the signal fires. Throws if the process cannot listen on the port. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, log, settings, intake } = this.ports;
+    const { clock, log, onRefusal, settings, intake } = this.ports;
     const fastPathRoutes = [this.heartbeatHandler.route, intake.health];
     const loadHandler = async (): Promise<RequestHandler> => {
       const { createUserHandler } = await import('../base/user-handler.js');
-      return createUserHandler(intake.routes, fastPathRoutes, log);
+      return createUserHandler(intake.routes, fastPathRoutes, { log, onRefusal });
     };
     const options = {
       ...parseSocketAddress(settings.listenAddress),
       fastPathRoutes,
       loadHandler,
       log,
+      onRefusal,
       clock,
       load: this.load,
       idleTimeoutMs: settings.workerLeaseMs * idleTimeoutLeases,
--- a/src/controller/state-access.ts
+++ b/src/controller/state-access.ts
@@ -3,6 +3,7 @@
  * the replica.
  */
 import type { Clock } from '../base/clock.js';
+import type { OnRefusal } from '../base/refusals.js';
 import { BlockRegistry } from '../blocks/block-registry.js';
 import { Cancellations } from '../intake/cancellations.js';
 import { OutcomeReader } from '../intake/outcome-reader.js';
@@ -20,6 +21,8 @@
   settings: Settings;
   /** When the signal fires, requests to the store are aborted and the commit queues stop. */
   signal: AbortSignal;
+  /** Receives each reply of the store that is malformed. */
+  onRefusal: OnRefusal;
   /** Time to live of a controller's lease in the store. */
   leaseTtlMs: number;
 }
@@ -36,8 +39,8 @@
   readonly outcomeReader: OutcomeReader;
   readonly replicaFreshness: ReplicaFreshness;
 
-  constructor({ clock, settings, signal, leaseTtlMs }: StateAccessOptions) {
-    const store = new StoreClient(settings, clock, signal);
+  constructor({ clock, settings, signal, onRefusal, leaseTtlMs }: StateAccessOptions) {
+    const store = new StoreClient({ settings, clock, signal, onRefusal });
     const replica = new StoreReplica(store, store.watchGapMs, storeProbeIntervalMs);
     const labels = [settings.label, ...settings.peers.map((peer) => peer.label)];
     this.store = store;
--- a/src/controller/worker-service.ts
+++ b/src/controller/worker-service.ts
@@ -1,6 +1,7 @@
 /** Composes the modules that decide how heartbeats of workers are answered, and the HTTP service. */
 import type { Clock } from '../base/clock.js';
 import type { Log } from '../base/log.js';
+import type { OnRefusal } from '../base/refusals.js';
 import type { OwnedBlocks } from '../blocks/owned-blocks.js';
 import type { Intake } from '../intake/intake.js';
 import type { Election } from '../leadership/election.js';
@@ -22,6 +23,7 @@
 /** The parts of the controller that the HTTP service uses. */
 export interface HttpServiceParts extends HeartbeatLogParts {
   state: StateAccess;
+  onRefusal: OnRefusal;
   heartbeatLog: HeartbeatLog;
   intake: Intake;
   ownedBlocks: OwnedBlocks;
@@ -49,6 +51,7 @@
   return new HttpService({
     clock,
     log,
+    onRefusal: parts.onRefusal,
     heartbeatLog: parts.heartbeatLog,
     settings,
     intake: parts.intake,
--- /dev/null
+++ b/src/fault-scenarios/malformed-messages.test.ts
@@ -0,0 +1,170 @@
+/**
+ * Sends malformed messages to controller processes on every path on which they decode messages. The processes
+ * run with the command and the memory limits of `deploy/service.toml`.
+ */
+import assert from 'node:assert/strict';
+import { after, before, beforeEach, describe, test } from 'node:test';
+import {
+  claimedCounts,
+  malformedBodies,
+  nestedClaims,
+  sparseNumericKeys,
+  submissionWithInvalidText,
+} from '../testing/malformed-messages.js';
+import { post } from '../testing/raw-request.js';
+import { ServiceProcesses } from '../testing/service-processes.js';
+import { submission } from '../testing/submission.js';
+import { testClient } from '../testing/test-client.js';
+import { labels } from '../testing/three-controllers.js';
+import { encode } from '../wire/codec.js';
+
+const memoryQuotaMb = 242;
+const waitMs = 30_000;
+const pollMs = 50;
+const nodes = [...labels.keys()];
+
+/** Bodies that end a controller that reserves memory for what they claim, or before it has checked them. */
+const expensiveMessages = [claimedCounts, nestedClaims(0xffff, 12_000), sparseNumericKeys(8000)];
+
+async function waitFor(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
+  for (const deadline = Date.now() + waitMs; !(await condition());) {
+    assert.ok(Date.now() < deadline, `waited in vain until ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, pollMs));
+  }
+}
+
+describe('controller processes and malformed messages', () => {
+  let logged = '';
+  /** Number of ended processes before the present test. A test must not fail because of an earlier one. */
+  let exitsBefore = 0;
+  const service = new ServiceProcesses({
+    firstPort: 27_860,
+    heartbeatIntervalMs: 500,
+    workerLeaseMs: 3000,
+    fetchMs: 50,
+    taskMs: () => 300,
+    storeLimits: {},
+    cloudCapacity: 4,
+    changeSettings: (settings) => {
+      settings['workers'] = { report_s: 0.5, lease_s: 3, cancel_s: 8 };
+      settings['quota'] = { cores: 0.34, mem_mb: memoryQuotaMb, max_sockets: 1800 };
+    },
+    onLog: (_label, text) => {
+      logged += text;
+    },
+  });
+
+  const users = testClient(service.servingAddress(0), 2);
+
+  const statusOf = async (node: number, body: Buffer, path = '/v2/runs'): Promise<number> =>
+    (await post(service.servingAddress(node), path, [body])).status;
+
+  /** Submits a job and waits until it has been accepted. */
+  const submit = async (node: number, id: string): Promise<void> => {
+    await waitFor(`${id} is accepted`, async () => {
+      const status = await statusOf(node, encode(submission(id, 2))).catch(() => 0);
+      return status === 200 || status === 201;
+    });
+  };
+
+  const assertAllServe = (): void => {
+    assert.deepEqual(service.unexpectedExits.slice(exitsBefore), []);
+    for (const node of nodes) {
+      const peakMb = service.usage(node)?.peakMemoryMb ?? Infinity;
+      assert.ok(peakMb < memoryQuotaMb, `${labels[node]} used ${peakMb} MB`);
+    }
+  };
+
+  const isRefusalLogged = (field: string, since: number): boolean =>
+    logged
+      .slice(since)
+      .split('\n')
+      .some((line) => line.includes('"message-refused"') && line.includes(field));
+
+  before(async () => {
+    await service.start();
+    for (const node of nodes) await submit(node, `req-00000${node}`);
+  });
+  after(() => service.stop());
+  beforeEach(async () => {
+    exitsBefore = service.unexpectedExits.length;
+    const ended = nodes.filter((node) => !service.isRunning(node));
+    for (const node of ended) service.startController(node);
+    for (const node of ended) await submit(node, `req-00000${node}`);
+  });
+
+  test('every malformed submission is answered with 400 and a reason, and ends no controller', async () => {
+    for (const [name, body] of Object.entries(malformedBodies)) {
+      for (const chunks of [[body], [body.subarray(0, 4), body.subarray(4)]]) {
+        const response = await post(service.servingAddress(0), '/v2/runs', chunks);
+        assert.equal(response.status, 400, name);
+        assert.match(JSON.stringify(response.body), /malformed body: [a-z-]+ at byte \d+/);
+      }
+    }
+    assertAllServe();
+  });
+
+  test('every malformed heartbeat is answered with 400 on the fast path and without it', async () => {
+    for (const [name, body] of Object.entries(malformedBodies)) {
+      for (const chunks of [[body], [body.subarray(0, 4), body.subarray(4)]]) {
+        const response = await post(service.servingAddress(1), '/hello', chunks);
+        assert.equal(response.status, 400, name);
+        assert.match(JSON.stringify(response.body), /malformed body: [a-z-]+ at byte \d+/);
+      }
+    }
+    assertAllServe();
+  });
+
+  test('many messages at once that each claim millions of entries keep the memory within the quota', async () => {
+    const statuses = await Promise.all(
+      Array.from({ length: 40 }, () => statusOf(2, claimedCounts.subarray(0, 5))),
+    );
+    assert.deepEqual(new Set(statuses), new Set([400]));
+    assertAllServe();
+  });
+
+  test('a job that is accepted stays known when its submission is repeated with invalid text', async () => {
+    const id = 'req-000601';
+    await submit(0, id);
+    const repeated = submissionWithInvalidText(id);
+    for (const node of nodes) assert.equal(await statusOf(node, repeated), 200);
+    assert.equal(await statusOf(0, submissionWithInvalidText('req-000602')), 400);
+  });
+
+  const storePaths = ['/changes', '/commit', '/keys', '/grants'];
+  for (const path of storePaths) {
+    test(`a malformed answer of the state service to ${path} counts as no answer and ends no controller`, async () => {
+      const since = logged.length;
+      for (const message of expensiveMessages) service.store.replacedAnswers.replace(path, message, 1);
+      await waitFor('the malformed answers are sent', async () => {
+        await statusOf(0, encode(submission(`req-${Date.now()}`, 1))).catch(() => 0);
+        await users.exchange('GET', `/v2/runs/req-9${Date.now()}`, undefined, { timeoutMs: waitMs });
+        return service.store.replacedAnswers.remaining === 0;
+      });
+      await waitFor('the refusal is logged', () => isRefusalLogged(`"path":"${path}`, since));
+      assertAllServe();
+      for (const node of nodes) await submit(node, `req-10${storePaths.indexOf(path)}00${node}`);
+    });
+  }
+
+  test('a malformed answer of the cloud counts as no answer and ends no controller', async () => {
+    const since = logged.length;
+    for (const message of expensiveMessages) service.cloud.replacedAnswers.replace('/', message, 1);
+    await waitFor('the malformed answers are sent', () => service.cloud.replacedAnswers.remaining === 0);
+    await waitFor('the refusal is logged', () => isRefusalLogged('"source":"cloud"', since));
+    assertAllServe();
+  });
+
+  test('jobs complete afterwards', async () => {
+    for (const node of nodes) {
+      const id = `req-20000${node}`;
+      await submit(node, id);
+      await waitFor(`${id} is done`, () =>
+        service.history.events.some(
+          (event) => event.kind === 'left' && event.task === `${id}/1` && event.completed,
+        ),
+      );
+    }
+    assertAllServe();
+  });
+});
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -6,6 +6,7 @@
   jobDetailsResponse,
   type JobStatus,
   jobStatusResponse,
+  malformedSubmissionId,
   parseJob,
   submittedJobId,
 } from '../wire/jobs.js';
@@ -41,7 +42,13 @@
 
   /** The routes for submit, query and cancel, in this order. */
   readonly routes: Route[] = [
-    { method: 'POST', path: /^\/v2\/runs$/, handle: (body) => this.submit(body) },
+    {
+      method: 'POST',
+      path: /^\/v2\/runs$/,
+      handle: (body) => this.submit(body),
+      // An earlier version may have accepted the job with such a submission.
+      handleMalformed: (body, refusal) => this.refuseUnlessAccepted(malformedSubmissionId(body), refusal),
+    },
     { method: 'GET', path: /^\/v2\/runs\/([^/]+)$/, handle: (_body, [id = '']) => this.query(id) },
     { method: 'POST', path: /^\/v2\/runs\/([^/]+)\/cancel$/, handle: (_body, [id = '']) => this.cancel(id) },
   ];
--- a/src/store/change-watch.ts
+++ b/src/store/change-watch.ts
@@ -1,7 +1,7 @@
 /** Receives changes of the stored keys from the state service by long polling. */
 import { onAbort } from '../base/abort-callbacks.js';
 import type { Clock } from '../base/clock.js';
-import { HttpClient, type HttpResponse } from '../base/http.js';
+import { ExchangeError, HttpClient, type HttpResponse, type ResponseReading } from '../base/http.js';
 import { type Change, parseChanges, watchPath } from '../wire/state.js';
 import { StoreConnectionError, StoreStatusError } from './errors.js';
 import type { StoreContact } from './store-contact.js';
@@ -26,6 +26,7 @@
   /** Aborts the open watch request. */
   signal: AbortSignal;
   contact: Pick<StoreContact, 'recordRevision'>;
+  reading: ResponseReading;
 }
 
 /**
@@ -37,15 +38,15 @@
   private openWatch: AbortController | undefined;
 
   constructor(private readonly ports: ChangeWatchPorts) {
-    this.httpClient = new HttpClient(ports.address, 1);
+    this.httpClient = new HttpClient(ports.address, 1, ports.reading);
   }
 
   /**
    * Waits for changes after a revision. The batch is empty if no key changed while the service held the watch
    * request open.
    *
-   * @returns undefined if the service no longer has the changes after this revision, so that all keys must be
-   *   read again
+   * @returns undefined if the service no longer has the changes after this revision, or if they are more than
+   *   one answer may contain, so that all keys must be read again
    * @throws {StoreConnectionError} when no answer arrives in time, or the watch was restarted
    * @throws {StoreStatusError} when the answer has a status other than 200 and 410
    */
@@ -53,7 +54,7 @@
     const { clock, contact } = this.ports;
     const sentAt = clock();
     const answer = await this.exchange(sinceRevision);
-    if (answer.status === compactedStatus) return undefined;
+    if (answer === undefined || answer.status === compactedStatus) return undefined;
     if (answer.status !== 200) throw new StoreStatusError('watch', answer.status);
     contact.recordRevision(sentAt, answer);
     return parseChanges(answer.body);
@@ -67,7 +68,8 @@
     this.openWatch?.abort();
   }
 
-  private async exchange(sinceRevision: number): Promise<HttpResponse> {
+  /** Returns undefined if the answer is too large. */
+  private async exchange(sinceRevision: number): Promise<HttpResponse | undefined> {
     const stop = new AbortController();
     const stopListening = onAbort(this.ports.signal, () => stop.abort());
     this.openWatch = stop;
@@ -77,6 +79,7 @@
         signal: stop.signal,
       });
     } catch (error) {
+      if (error instanceof ExchangeError && error.failure === 'too-large') return undefined;
       throw new StoreConnectionError('watch', error);
     } finally {
       stopListening();
--- a/src/store/client.test.ts
+++ b/src/store/client.test.ts
@@ -4,8 +4,11 @@
 import { test } from 'node:test';
 
 import { monotonicClock } from '../base/clock.js';
+import { replyLimits } from '../base/reply-limits.js';
+import { submissionWithInvalidText } from '../testing/malformed-messages.js';
 import { testSettings } from '../testing/settings.js';
 import { reply } from '../testing/store-standin.js';
+import { encode } from '../wire/codec.js';
 import { StoreClient } from './client.js';
 import { StoreConnectionError } from './errors.js';
 
@@ -24,7 +27,7 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
   const settings = { ...testSettings(), stateAddress: `127.0.0.1:${port}` };
-  const client = new StoreClient(settings, monotonicClock, neverAborted);
+  const client = new StoreClient({ settings, clock: monotonicClock, signal: neverAborted });
   const restarted = assert.rejects(client.watch(1), (error: unknown) => {
     assert.ok(error instanceof StoreConnectionError);
     assert.match(String(error.cause), /cancelled/);
@@ -37,3 +40,49 @@
   server.closeAllConnections();
   server.close();
 });
+
+/** Starts a state service that sends these bytes as its answer to every request, and a client for it. */
+async function clientOfFixedAnswer(answer: Buffer): Promise<{ client: StoreClient; close: () => void }> {
+  const server = createServer((_request, response) => response.end(answer));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const settings = { ...testSettings(), stateAddress: `127.0.0.1:${port}` };
+  const client = new StoreClient({ settings, clock: monotonicClock, signal: neverAborted });
+  const close = (): void => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { client, close };
+}
+
+test('an answer with a stored record whose text is not valid UTF-8 is read', async () => {
+  const record = submissionWithInvalidText('req-000601');
+  const head = Buffer.concat([
+    Buffer.from([0x83]),
+    encode('path'),
+    encode('sk/job/req-000601'),
+    encode('stamp'),
+  ]);
+  const { client, close } = await clientOfFixedAnswer(
+    Buffer.concat([head, encode(7), encode('value'), record]),
+  );
+  const item = await client.read('job/req-000601');
+  assert.deepEqual([item?.key, item?.version], ['job/req-000601', 7]);
+  assert.equal((item?.value as Record<string, unknown>)['id'], 'req-000601');
+  close();
+});
+
+test('a watch whose answer is larger than the heap allows asks for all keys to be read again', async () => {
+  const { maxBytes } = replyLimits();
+  const { client, close } = await clientOfFixedAnswer(Buffer.alloc(maxBytes + 1, 0xc0));
+  assert.equal(await client.watch(1), undefined);
+  await assert.rejects(client.listPage('', '', 500), StoreConnectionError);
+  close();
+});
+
+test('a commit whose answer is malformed is undecided', async () => {
+  const { client, close } = await clientOfFixedAnswer(Buffer.from('dd02000000dd02000000', 'hex'));
+  assert.deepEqual(await client.commit('duty', [], [{ put: 'a', value: 1 }]), { kind: 'unknown' });
+  assert.equal(client.failing, true);
+  close();
+});
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -3,7 +3,10 @@
  * within the controller's share of the service's rate limits.
  */
 import type { Clock } from '../base/clock.js';
+import type { OnRefusal } from '../base/refusals.js';
+import { replyLimits } from '../base/reply-limits.js';
 import type { Settings } from '../settings/settings.js';
+import { decodeStored } from '../wire/codec.js';
 import {
   type Condition,
   type Item,
@@ -27,6 +30,18 @@
 const renewalSockets = 4;
 const itemsPerPage = 500;
 
+/** The settings and inputs of the client. */
+export interface StoreClientPorts {
+  /** Contains the address and the limits of the service. */
+  settings: Settings;
+  /** Monotonic time in ms. */
+  clock: Clock;
+  /** Aborts all pending requests and pauses. */
+  signal: AbortSignal;
+  /** Receives each reply that is malformed or too large. Such a reply counts as no answer. */
+  onRefusal?: OnRefusal;
+}
+
 /**
  * A controller's client of the state service. Unless stated otherwise, the methods that send a request reject
  * with a `StoreError` if the result of the request is not known. Times are monotonic times in ms.
@@ -39,21 +54,17 @@
   private readonly transactions: Transactions;
   private readonly leases: Leases;
 
-  /**
-   * @param settings the address and limits of the service
-   * @param clock monotonic time in ms
-   * @param signal aborts all pending requests and pauses
-   */
-  constructor(settings: Settings, clock: Clock, signal: AbortSignal) {
+  constructor({ settings, clock, signal, onRefusal }: StoreClientPorts) {
     const address = settings.stateAddress;
     // Until the service has served the first request, the latest contact is assumed to be one cancellation
     // deadline ago, so that no check of the contact age treats the contact as recent.
     this.contact = new StoreContact(clock, clock() - settings.cancelDeadlineMs, () => this.restartWatch());
     this.pacing = new RequestPacing(settings, clock);
     const { contact, pacing } = this;
-    const ports = { address, clock, signal, pacing, contact };
+    const reading = { limits: replyLimits(), decode: decodeStored, source: 'store' as const, onRefusal };
+    const ports = { address, clock, signal, pacing, contact, reading };
     this.connection = new StoreConnection(ports, requestSockets);
-    this.changeWatch = new ChangeWatch({ address, clock, signal, contact });
+    this.changeWatch = new ChangeWatch({ address, clock, signal, contact, reading });
     this.transactions = new Transactions({ signal, connection: this.connection, pacing });
     this.leases = new Leases(this.connection, new StoreConnection(ports, renewalSockets));
   }
--- a/src/store/store-connection.ts
+++ b/src/store/store-connection.ts
@@ -3,7 +3,7 @@
  * its answer or failure is recorded as presence or loss of contact with the service.
  */
 import { type Clock, sleep } from '../base/clock.js';
-import { HttpClient, type HttpResponse } from '../base/http.js';
+import { HttpClient, type HttpResponse, type ResponseReading } from '../base/http.js';
 import { StoreConnectionError, type StoreOperation } from './errors.js';
 import type { RequestPacing, TrafficClass } from './request-pacing.js';
 import type { StoreContact } from './store-contact.js';
@@ -27,6 +27,7 @@
   signal: AbortSignal;
   pacing: Pick<RequestPacing, 'reserveRequest'>;
   contact: Pick<StoreContact, 'recordAnswer' | 'recordNoAnswer'>;
+  reading: ResponseReading;
 }
 
 /** A pool of persistent connections to the state service. */
@@ -41,7 +42,7 @@
     private readonly ports: StoreConnectionPorts,
     sockets: number,
   ) {
-    this.httpClient = new HttpClient(ports.address, sockets);
+    this.httpClient = new HttpClient(ports.address, sockets, ports.reading);
   }
 
   /**
--- a/src/testing/cloud-standin.ts
+++ b/src/testing/cloud-standin.ts
@@ -1,6 +1,7 @@
 /** Simulates the cloud for tests: an HTTP server with the cloud's API. */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import { type Fields, decodeFields, asList, asNumber, asText } from '../wire/codec.js';
+import { ReplacedAnswers } from './replaced-answers.js';
 import { reply } from './store-standin.js';
 
 /**
@@ -35,6 +36,8 @@
   delayedReleases = { count: 0, ms: 0 };
   /** If true, every request is answered with 503, as in an outage. */
   hasOutage = false;
+  /** Requests whose answers are replaced are not executed. */
+  readonly replacedAnswers = new ReplacedAnswers();
   onRent: (machine: RentedMachine) => void = () => undefined;
   onRelease: (id: string) => void = () => undefined;
   private readonly recentlyReleased = new Map<string, { machine: RentedMachine; releasedAt: number }>();
@@ -61,6 +64,7 @@
     const body = bytes.length > 0 ? decodeFields(bytes) : {};
     const path = new URL(request.url ?? '/', 'http://cloud').pathname;
     if (this.hasOutage) return reply(response, 503, { error: 'trouble' });
+    if (this.replacedAnswers.send(path, response)) return;
     if (path === '/machine_types') return reply(response, 200, { hulls: [machineType] });
     if (path === '/rentals/release') {
       const hosts = asList(body['hosts']).map((h) => asText(h));
--- a/src/testing/cluster.ts
+++ b/src/testing/cluster.ts
@@ -1,6 +1,7 @@
 /** Runs three controllers against stand-ins for the state service, the cloud, the workers and the users. */
 import { fileURLToPath } from 'node:url';
-import { HttpClient, type HttpResponse } from '../base/http.js';
+import { testClient } from './test-client.js';
+import { type HttpClient, type HttpResponse } from '../base/http.js';
 import { createLog } from '../base/log.js';
 import { Controller } from '../controller/controller.js';
 import { defaultOperatorSettings } from '../settings/operator.js';
@@ -119,7 +120,7 @@
     this.times = options.times ?? defaultTimes;
     this.random = seeded(options.seed ?? 1);
     this.store = new StoreStandIn({ rps: 400, writeRps: 200, txnOps: 20 }, options.seed);
-    this.userClients = labels.map((_, i) => new HttpClient(this.address(i, 0), 16));
+    this.userClients = labels.map((_, i) => testClient(this.address(i, 0), 16));
     this.cloud.capacity = options.capacity ?? this.cloud.capacity;
     this.cloud.onRent = (machine) => this.startWorker(machine);
     this.cloud.onRelease = (id) => this.endWorker(id);
--- a/src/testing/store-standin.ts
+++ b/src/testing/store-standin.ts
@@ -2,6 +2,7 @@
  * Simulates the state service for tests: an HTTP server with the same API, and faults that a test can inject.
  */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import { ReplacedAnswers } from './replaced-answers.js';
 import { seeded } from './seeded.js';
 import {
   decodeFields,
@@ -83,6 +84,7 @@
    */
   shouldWithholdCommit: ((key: string) => boolean) | undefined;
   private readonly withheldCommits: Fields[] = [];
+  readonly replacedAnswers = new ReplacedAnswers();
   /** Number of requests and transactions that were refused because of a rate limit. */
   refusals = 0;
   /**
@@ -163,7 +165,10 @@
     if (this.answerDelayMs > 0) await pause(this.answerDelayMs / 2);
     if (this.hasOutage || this.refusedClients.has(client)) return reply(response, 503, {});
     if (!this.admit('requests', 1, this.limits.rps)) return reply(response, 429, {});
-    if (url.pathname === '/changes') return this.watch(url, response, client);
+    if (url.pathname === '/changes') {
+      if (this.replacedAnswers.send(url.pathname, response)) return;
+      return this.watch(url, response, client);
+    }
     if (
       url.pathname === '/commit' &&
       this.shouldWithholdCommit &&
@@ -195,7 +200,7 @@
     // If a partition began during the execution, the answer is also held until the partition ends, and then
     // arrives too late.
     while (this.partitionedClients.has(client)) await pause(20);
-    reply(response, status, answer);
+    if (!this.replacedAnswers.send(url.pathname, response)) reply(response, status, answer);
   }
 
   /** Number of held answers. */
--- a/src/testing/worker-standin.ts
+++ b/src/testing/worker-standin.ts
@@ -1,5 +1,6 @@
 /** Simulates a worker for tests: sends heartbeats to the controllers and executes their commands. */
-import { HttpClient } from '../base/http.js';
+import { testClient } from './test-client.js';
+import { type HttpClient } from '../base/http.js';
 import { sleep } from '../base/clock.js';
 import { type Fields, isFieldMap, asList, asNumber, asText } from '../wire/codec.js';
 import type { RentedMachine } from './cloud-standin.js';
@@ -74,7 +75,7 @@
     readonly machine: RentedMachine,
     private readonly options: WorkerOptions,
   ) {
-    this.controllerClients = options.nodes.map((node) => new HttpClient(node.address, 2));
+    this.controllerClients = options.nodes.map((node) => testClient(node.address, 2));
     this.tickTimer = setInterval(() => this.advance(), this.tickMs);
   }
 
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -4,6 +4,10 @@
  */
 import { Packr, Unpackr } from 'msgpackr';
 
+import { MalformedMessageError } from './message-errors.js';
+import { type DecodeLimits, type InvalidText, MessageScanner } from './message-scanner.js';
+import { replaceInvalidText } from './message-text.js';
+
 // Maps are plain objects with text keys. Integers beyond 2^53 are decoded as bigint, so that they lose no
 // digits. The library supports `auto` for `int64AsType`, but its type declarations do not include that value.
 const options = {
@@ -23,9 +27,44 @@
   return packr.pack(value);
 }
 
-/** Decodes a MessagePack value. Throws if the bytes end before the end of the value or continue after it. */
-export function decode(bytes: Uint8Array): unknown {
-  return unpackr.unpack(bytes);
+const scanner = new MessageScanner();
+
+/**
+ * Decodes a MessagePack value. The memory and the time that this takes are bounded by a constant times the
+ * number of the bytes (`maxMemoryPerByte`), whatever they contain.
+ *
+ * @throws {MalformedMessageError} if the bytes are not exactly one message of the form that `MessageScanner`
+ *   accepts, or if the message exceeds a limit
+ */
+export function decode(bytes: Uint8Array, limits?: DecodeLimits): unknown {
+  const message = asBuffer(bytes);
+  scanner.check(message, limits);
+  return decodeChecked(message);
+}
+
+/**
+ * Decodes a value that this program, or an earlier version of it, may have stored. Text that is not valid
+ * UTF-8 is decoded with replacement characters.
+ *
+ * @throws {MalformedMessageError} as `decode` does for all other reasons, or if the message exceeds a limit
+ */
+export function decodeStored(bytes: Uint8Array, limits?: DecodeLimits): unknown {
+  const message = asBuffer(bytes);
+  const invalidTexts: InvalidText[] = [];
+  new MessageScanner((text) => invalidTexts.push(text)).check(message, limits);
+  return decodeChecked(invalidTexts.length === 0 ? message : replaceInvalidText(message, invalidTexts));
+}
+
+function decodeChecked(message: Buffer): unknown {
+  try {
+    return unpackr.unpack(message);
+  } catch (error) {
+    throw new MalformedMessageError('undecodable', 0, { cause: error });
+  }
+}
+
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.isBuffer(bytes) ? bytes : Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
 
 /** Whether the value is a map, that is, an object other than a list, binary data or null. */
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -39,6 +39,7 @@
 
 import type { JobSpec } from '../model/types.js';
 import { asText, isFieldMap } from './codec.js';
+import { topLevelText } from './message-tokens.js';
 
 const jobIdPattern = /^req-\d{1,18}$/;
 
@@ -56,6 +57,12 @@
   return isJobId(id) ? id : undefined;
 }
 
+/** The job id of a submission that is malformed as a message. Undefined if there is no well-formed job id. */
+export function malformedSubmissionId(message: Buffer): string | undefined {
+  const id = topLevelText(message, 'id');
+  return id !== undefined && isJobId(id) ? id : undefined;
+}
+
 const jobId = v.pipe(v.string(), v.regex(jobIdPattern));
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0), v.maxValue(1e9));
 const shortText = v.pipe(v.string(), v.nonEmpty(), v.maxLength(200));
@@ -90,7 +97,7 @@
  * dependency that is listed twice is kept once.
  */
 export function parseJob(body: unknown, acceptedAt: number): JobSpec | string {
-  const result = v.safeParse(submissionSchema, body);
+  const result = v.safeParse(submissionSchema, body, { abortEarly: true });
   if (!result.success) {
     const issue = result.issues[0];
     return `${v.getDotPath(issue) ?? 'body'}: ${issue.message}`;
