Close peer links that send malformed, endless or useless bytes

What happened: bytes on a controller's peer address could end the process. The library's stream kept up to 64 MB of a message that had not ended, decoded all of it again with each chunk, and reserved the memory that its headers claim. A list item of another form than expected threw inside the stream. A connection that sent bytes but no status stayed open for ever and took one of the few places.

Fix: StatusDecoder scans each message once, however it is cut into chunks, refuses it as soon as it cannot end within a share of the memory quota, and decodes complete messages with the checked codec. Items of the lists are validated. An incoming link is closed if it carries no status for as long as an idle link, and a refusal is logged with the address of the sender.

Evidence: on the sources before, the three tests for peer links in malformed-messages.test.ts fail (the process ends, or the link stays open); they pass now. Statuses are sent in the same bytes as before.

--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -246,6 +246,7 @@
       }),
       cancellationsSince: (revision) => this.state.cancellations.listSince(revision),
       onStatus: (status) => statusHandler.apply(status),
+      onRefusal: this.refusalLog.record,
     });
   }
 
--- a/src/fault-scenarios/malformed-messages.test.ts
+++ b/src/fault-scenarios/malformed-messages.test.ts
@@ -3,6 +3,7 @@
  * run with the command and the memory limits of `deploy/service.toml`.
  */
 import assert from 'node:assert/strict';
+import { type Socket, createConnection } from 'node:net';
 import { after, before, beforeEach, describe, test } from 'node:test';
 import {
   claimedCounts,
@@ -131,6 +132,48 @@
     assert.equal(await statusOf(0, submissionWithInvalidText('req-000602')), 400);
   });
 
+  /** Opens a connection to the address at which a controller listens for its peers. */
+  const connectAsPeer = (node: number): { socket: Socket; isClosed: () => boolean } => {
+    const [host = '', port = ''] = service.peerAddress(node).split(':');
+    const socket = createConnection({ host, port: Number(port) });
+    let isClosed = false;
+    socket.on('error', () => undefined).on('close', () => (isClosed = true));
+    return { socket, isClosed: () => isClosed };
+  };
+
+  test('a peer link with a malformed message is closed and logged, and ends no controller', async () => {
+    for (const message of expensiveMessages) {
+      const since = logged.length;
+      const link = connectAsPeer(0);
+      link.socket.write(message);
+      await waitFor('the link is closed', link.isClosed);
+      await waitFor('the refusal is logged', () => isRefusalLogged('"source":"peer"', since));
+    }
+    assertAllServe();
+  });
+
+  test('a peer link with a message that never ends is closed before the message fills the memory', async () => {
+    for (const head of ['dd00200000', 'db00200000']) {
+      const link = connectAsPeer(0);
+      link.socket.write(Buffer.from(head, 'hex'));
+      const block = Buffer.alloc(16 * 1024, 0x80);
+      await waitFor('the link is closed', () => {
+        if (link.socket.writable) link.socket.write(block);
+        return link.isClosed();
+      });
+    }
+    assertAllServe();
+  });
+
+  test('a peer link that sends bytes but no status is closed', async () => {
+    const link = connectAsPeer(0);
+    await waitFor('the link is closed', () => {
+      if (link.socket.writable) link.socket.write(encode(null));
+      return link.isClosed();
+    });
+    assertAllServe();
+  });
+
   const storePaths = ['/changes', '/commit', '/keys', '/grants'];
   for (const path of storePaths) {
     test(`a malformed answer of the state service to ${path} counts as no answer and ends no controller`, async () => {
--- a/src/peers/peer-links.test.ts
+++ b/src/peers/peer-links.test.ts
@@ -27,6 +27,7 @@
     return new PeerLinks({
       clock: monotonicClock,
       log: silentLog,
+      onRefusal: () => undefined,
       settings,
       incarnation: `boot-${index}`,
       onStatus,
@@ -120,6 +121,7 @@
   return new PeerLinks({
     clock: monotonicClock,
     log: silentLog,
+    onRefusal: () => undefined,
     settings,
     incarnation,
     onStatus,
@@ -226,6 +228,7 @@
     settings: testSettings(),
     incarnation: 'mine',
     onStatus: () => undefined,
+    onRefusal: () => undefined,
     storeRevision: () => storeRevision,
     localStatus: () => ({
       storeContactAgeMs: 0,
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -6,20 +6,19 @@
 import { Readable, Writable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
 
-import { PackrStream, UnpackrStream } from 'msgpackr';
+import { PackrStream } from 'msgpackr';
 
 import type { Clock } from '../base/clock.js';
 import { sleep } from '../base/clock.js';
 import type { Log } from '../base/log.js';
+import type { OnRefusal } from '../base/refusals.js';
 import { runRoutine } from '../base/routine.js';
-import { parseSocketAddress } from '../base/socket-address.js';
+import { parseSocketAddress, senderOf } from '../base/socket-address.js';
 import type { Settings } from '../settings/settings.js';
-import {
-  type CancellationList,
-  parsePeerStatus,
-  type PeerStatus,
-  peerStatusRecord,
-} from '../wire/peer-status.js';
+import { MalformedMessageError } from '../wire/message-errors.js';
+import type { DecodeLimits } from '../wire/message-scanner.js';
+import { type CancellationList, type PeerStatus, peerStatusRecord } from '../wire/peer-status.js';
+import { StatusDecoder } from './status-decoder.js';
 
 /**
  * The latest status of a peer for which a lower bound of the creation time is known. Times are monotonic
@@ -44,7 +43,10 @@
 export interface PeerLinksPorts {
   clock: Clock;
   log: Log;
-  settings: Pick<Settings, 'label' | 'peerListenAddress' | 'peers' | 'controllers' | 'heartbeatIntervalMs'>;
+  settings: Pick<
+    Settings,
+    'label' | 'peerListenAddress' | 'peers' | 'controllers' | 'heartbeatIntervalMs' | 'quota'
+  >;
   /** Identifies this run of the controller process; a new value is chosen at every start. */
   incarnation: string;
   /** Returns the revision that this controller's replica of the store has reached. */
@@ -62,6 +64,8 @@
   cancellationsSince: (revision: number) => CancellationList;
   /** Called with each received status of a peer, except for statuses that arrive out of order. */
   onStatus: (status: PeerStatus) => void;
+  /** Receives each malformed message of a peer. The connection is closed. */
+  onRefusal: OnRefusal;
 }
 
 /** Fields of the latest status received from a peer. The next status to this peer is derived from them. */
@@ -79,7 +83,10 @@
 const minStatusIntervalMs = 500;
 /** Number of sent statuses whose send times are stored. */
 const sentTimesKept = 120;
-/** A link without traffic for this many status intervals is closed. The sending side then connects again. */
+/**
+ * An outgoing link without traffic, or an incoming link without a status, for this many status intervals is
+ * closed. The sending side then connects again.
+ */
 const idleTimeoutStatuses = 20;
 /**
  * No status is sent while this many bytes or more are queued on the socket. Without this limit, statuses
@@ -91,10 +98,12 @@
  * may stay open after a peer has restarted.
  */
 const maxConnectionsPerController = 4;
-/**
- * Options of the MessagePack library. Sender and receiver must use the same options. With the library's
- * defaults, the receiver would decode a status as a Map, whose fields cannot be read as properties.
- */
+/** Maximum length of a status, as a share of the memory quota. All incoming links together may reserve it. */
+const maxStatusRatio = 1 / 400;
+/** Maximum memory of a decoded status, as a share of the memory quota. */
+const maxStatusMemoryRatio = 1 / 8;
+const bytesPerMb = 2 ** 20;
+/** Options of the MessagePack library. Statuses are sent as maps, not as records of the library. */
 const messagePackOptions = { useRecords: false };
 
 /**
@@ -110,12 +119,18 @@
   private readonly lastStatuses = new Map<string, LastPeerStatus>();
 
   private readonly statusIntervalMs: number;
+  private readonly statusLimits: DecodeLimits;
 
   constructor(private readonly ports: PeerLinksPorts) {
     this.statusIntervalMs = Math.max(
       minStatusIntervalMs,
       ports.settings.heartbeatIntervalMs / statusesPerHeartbeat,
     );
+    const quotaBytes = ports.settings.quota.memoryMb * bytesPerMb;
+    this.statusLimits = {
+      maxBytes: quotaBytes * maxStatusRatio,
+      maxMemoryBytes: quotaBytes * maxStatusMemoryRatio,
+    };
   }
 
   /**
@@ -218,16 +233,27 @@
   }
 
   private async receiveStatuses(socket: Socket, signal: AbortSignal): Promise<void> {
-    socket.setTimeout(this.statusIntervalMs * idleTimeoutStatuses, () => socket.destroy());
+    const sender = senderOf(socket);
+    // The deadline counts from the latest status, because bytes may arrive for any time without a status.
+    const deadline = setTimeout(() => socket.destroy(), this.statusIntervalMs * idleTimeoutStatuses);
+    const decoder = new StatusDecoder(this.statusLimits);
     const receiver = new Writable({
       objectMode: true,
-      write: (message: unknown, _encoding, done) => {
-        const status = parsePeerStatus(message);
-        if (status !== undefined) this.receive(status);
+      write: (status: PeerStatus, _encoding, done) => {
+        deadline.refresh();
+        this.receive(status);
         done();
       },
     });
-    await pipeline(socket, new UnpackrStream(messagePackOptions), receiver, { signal });
+    try {
+      await pipeline(socket, decoder, receiver, { signal });
+    } catch (error) {
+      if (error instanceof MalformedMessageError)
+        this.ports.onRefusal({ source: 'peer', sender, error, bytes: decoder.pendingBytes });
+      throw error;
+    } finally {
+      clearTimeout(deadline);
+    }
   }
 
   private async sendStatuses(label: string, address: string, signal: AbortSignal): Promise<void> {
--- a/src/wire/peer-status.ts
+++ b/src/wire/peer-status.ts
@@ -82,15 +82,27 @@
   };
 }
 
+function isName(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function isCancelledJob(value: unknown): value is CancelledJob {
+  return Array.isArray(value) && typeof value[0] === 'string' && typeof value[1] === 'number';
+}
+
+function isListOf<T>(list: unknown, isItem: (value: unknown) => value is T): list is T[] {
+  return Array.isArray(list) && list.every(isItem);
+}
+
 /**
- * Parses a status. Returns undefined if the message lacks the label of the sender or one of the lists. The
- * items of the lists are not validated, because only controllers send statuses.
+ * Parses a status. Returns undefined if the message lacks the label of the sender or one of the lists, or if
+ * an item of a list has another form.
  */
 export function parsePeerStatus(message: unknown): PeerStatus | undefined {
   if (!isFieldMap(message)) return undefined;
-  const sender = message['from'];
-  const lists = [message['cancelled'], message['gone'], message['up']];
-  if (typeof sender !== 'string' || !lists.every(Array.isArray)) return undefined;
+  const { from: sender, gone, up, cancelled } = message;
+  if (!isName(sender) || !isListOf(gone, isName) || !isListOf(up, isName)) return undefined;
+  if (!isListOf(cancelled, isCancelledJob)) return undefined;
   return {
     from: sender,
     incarnation: asText(message['boot']),
@@ -100,9 +112,9 @@
     storeRevision: asNumber(message['knows']),
     storeContactAgeMs: asNumber(message['contactAge']),
     fencingToken: asNumber(message['token']),
-    terminatedMachines: message['gone'] as string[],
-    bootedMachines: message['up'] as string[],
+    terminatedMachines: gone,
+    bootedMachines: up,
     cancelledSince: asNumber(message['since']),
-    cancelled: message['cancelled'] as CancelledJob[],
+    cancelled,
   };
 }
