--- a/src/controller/controller.ts
+++ b/src/controller/controller.ts
@@ -108,7 +108,8 @@
    * restarted.
    */
   async run(): Promise<void> {
-    const { settings, log, incarnation } = this;
+    const { settings, log, incarnation, clock } = this;
+    const startedAt = clock();
     log.info({ event: 'start', incarnation, zone: settings.zone }, 'controller is starting');
     await Promise.all([
       this.keepRunning('web', (signal) => this.httpService.run(signal)),
@@ -124,6 +125,7 @@
       this.keepRunning('cascade', (signal) => this.cascade.run(signal), storeProbeIntervalMs),
       this.peerLinks.run(this.signal),
     ]);
+    log.info({ event: 'stop', incarnation, ranForMs: clock() - startedAt }, 'controller was told to stop');
   }
 
   private keepRunning(
