Accept sparse numeric keys independently of how a message is encoded

The allowance for numeric keys grew with the length of the message, so headers that are longer than necessary bought more of it.

Fix: the memory for a numeric key counts beyond what the shortest entry allows, and the sum for a message has a fixed allowance. Encoding a decoded value again can only lower it. Stored records may have any numeric keys, for instance names of teams; only the memory limit for replies applies to them.

--- a/src/testing/decoding-checks.ts
+++ b/src/testing/decoding-checks.ts
@@ -11,7 +11,7 @@
 import { getHeapStatistics } from 'node:v8';
 import { decode, encode } from '../wire/codec.js';
 import { MalformedMessageError } from '../wire/message-errors.js';
-import { maxMemoryPerByte, memoryAllowance } from '../wire/message-scanner.js';
+import { maxMemoryPerByte, sparseKeysAllowance } from '../wire/message-scanner.js';
 import { randomMessage } from './malformed-messages.js';
 import { seeded } from './seeded.js';
 
@@ -31,7 +31,7 @@
  *   fails with another error
  */
 export function decodeWithinBounds(message: Buffer): { value: unknown } | { error: MalformedMessageError } {
-  const allowed = message.length * maxMemoryPerByte + memoryAllowance + runtimeMemory;
+  const allowed = message.length * maxMemoryPerByte + sparseKeysAllowance + runtimeMemory;
   const before = usedMemory();
   try {
     const value = decode(message);
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -44,14 +44,15 @@
 
 /**
  * Decodes a value that this program, or an earlier version of it, may have stored. Text that is not valid
- * UTF-8 is decoded with replacement characters.
+ * UTF-8 is decoded with replacement characters. Numeric keys, for example names of teams, may be any; the
+ * memory for them counts towards `maxMemoryBytes`.
  *
  * @throws {MalformedMessageError} as `decode` does for all other reasons, or if the message exceeds a limit
  */
 export function decodeStored(bytes: Uint8Array, limits?: DecodeLimits): unknown {
   const message = asBuffer(bytes);
   const invalidTexts: InvalidText[] = [];
-  new MessageScanner((text) => invalidTexts.push(text)).check(message, limits);
+  new MessageScanner({ onInvalidText: (text) => invalidTexts.push(text) }).check(message, limits);
   return decodeChecked(invalidTexts.length === 0 ? message : replaceInvalidText(message, invalidTexts));
 }
 
--- a/src/wire/message-scanner.ts
+++ b/src/wire/message-scanner.ts
@@ -11,8 +11,8 @@
 export const maxNestingDepth = 100;
 /** Memory in bytes that a decoded message may need for each of its bytes. */
 export const maxMemoryPerByte = 128;
-/** Memory in bytes that any message may need in addition. */
-export const memoryAllowance = 64 * 1024;
+/** Memory in bytes that any message may need in addition, for numeric keys far from each other. */
+export const sparseKeysAllowance = 256 * 1024;
 
 /** Memory in bytes of an entry of a list. */
 const entryMemory = 8;
@@ -30,6 +30,8 @@
 const maxArrayIndex = 5000;
 const maxArrayIndexDigits = 4;
 const arrayMemoryPerIndex = 12;
+/** The length of the shortest entry of a map with a key of one character. */
+const minEntryBytes = 3;
 const digitZero = 0x30;
 const digitNine = 0x39;
 const firstByteBeyondAscii = 0x80;
@@ -49,7 +51,14 @@
   maxMemoryBytes: number;
 }
 
-const noLimits: DecodeLimits = { maxBytes: Infinity, maxMemoryBytes: Infinity };
+/** No limits other than those by the length of a message. */
+export const noLimits: DecodeLimits = { maxBytes: Infinity, maxMemoryBytes: Infinity };
+
+/** What a scanner accepts although it is malformed. */
+export interface Tolerance {
+  /** Receives each text that is not valid UTF-8. */
+  onInvalidText: (text: InvalidText) => void;
+}
 
 /**
  * Checks one message after the other. A message may arrive in parts: the scanner continues where it stopped,
@@ -67,15 +76,17 @@
   /** Sum of `unreadValues`. Each of these values takes at least one byte. */
   private pendingValues = 0;
   private memoryBytes = 0;
+  /** Memory for numeric keys beyond the memory that the length of their entries allows. */
+  private sparseKeysMemory = 0;
   /** Number of bytes of the present message that were scanned. */
   private scannedBytes = 0;
   private isInMessage = false;
 
   /**
-   * @param onInvalidText receives each text that is not valid UTF-8. If undefined, a message with such a text
-   *   is malformed.
+   * @param tolerance is given for messages of a trusted sender: text that is not valid UTF-8 and numeric keys
+   *   far from each other are accepted, so that only `maxMemoryBytes` limits the memory for these keys
    */
-  constructor(private readonly onInvalidText?: (text: InvalidText) => void) {}
+  constructor(private readonly tolerance?: Tolerance) {}
 
   /**
    * Scans the present message, which begins at the first of the bytes. When called again before the message
@@ -87,7 +98,7 @@
   scan(bytes: Buffer, limits: DecodeLimits): number | undefined {
     const length = this.scanUntil(bytes, limits.maxBytes, 'too-large');
     if (length === undefined) return undefined;
-    this.checkMemory(length, limits);
+    this.checkMemory(limits);
     this.reset();
     return length;
   }
@@ -103,7 +114,7 @@
     const length = this.scanUntil(bytes, bytes.length, 'truncated');
     if (length === undefined) return this.refuse('truncated', bytes.length);
     if (length < bytes.length) this.refuse('trailing-bytes', length);
-    this.checkMemory(length, limits);
+    this.checkMemory(limits);
     this.reset();
   }
 
@@ -132,6 +143,7 @@
     this.depth = 0;
     this.pendingValues = 0;
     this.memoryBytes = 0;
+    this.sparseKeysMemory = 0;
     this.scannedBytes = 0;
     this.isInMessage = false;
   }
@@ -184,8 +196,8 @@
     this.memoryBytes += emptyTextMemory + (end - start);
     if (isKey) this.countIndexMemory(bytes, start, end);
     if (isAscii(bytes, start, end) || isUtf8(bytes.subarray(start, end))) return;
-    if (!this.onInvalidText) this.refuse('invalid-text', headerStart);
-    this.onInvalidText({ headerStart, start, end });
+    if (!this.tolerance) this.refuse('invalid-text', headerStart);
+    this.tolerance.onInvalidText({ headerStart, start, end });
   }
 
   private countIndexMemory(bytes: Buffer, start: number, end: number): void {
@@ -193,13 +205,15 @@
     const top = this.depth - 1;
     const largest = this.largestIndex[top] ?? 0;
     if (index === undefined || index <= largest) return;
-    this.memoryBytes += (index - largest) * arrayMemoryPerIndex;
+    const arrayMemory = (index - largest) * arrayMemoryPerIndex;
+    this.memoryBytes += arrayMemory;
+    this.sparseKeysMemory += Math.max(0, arrayMemory - minEntryBytes * maxMemoryPerByte);
     this.largestIndex[top] = index;
   }
 
-  private checkMemory(length: number, { maxMemoryBytes }: DecodeLimits): void {
-    const maxMemory = Math.min(length * maxMemoryPerByte + memoryAllowance, maxMemoryBytes);
-    if (this.memoryBytes > maxMemory) this.refuse('too-expensive', 0);
+  private checkMemory({ maxMemoryBytes }: DecodeLimits): void {
+    const isTooSparse = !this.tolerance && this.sparseKeysMemory > sparseKeysAllowance;
+    if (isTooSparse || this.memoryBytes > maxMemoryBytes) this.refuse('too-expensive', 0);
   }
 
   private refuse(reason: MalformedReason, offset: number): never {
