--- a/src/testing/load.ts
+++ b/src/testing/load.ts
@@ -5,7 +5,10 @@
  * the memory:
  *
  *     node target/test/testing/load.js [--machines 632] [--warm-up 40] [--seconds 60] [--jobs-per-second 4]
- *       [--first-port 27000] [--profile DIR]
+ *       [--first-port 27000] [--restart-every S] [--profile DIR]
+ *
+ * With `--restart-every`, every controller process is ended and started again each time after so many seconds,
+ * and the largest memory of each controller and its unexpected ends are printed.
  */
 import { parseArgs } from 'node:util';
 import { testClient } from './test-client.js';
@@ -28,6 +31,7 @@
     'warm-up': { type: 'string', default: '40' },
     'jobs-per-second': { type: 'string', default: '4' },
     'first-port': { type: 'string', default: '27000' },
+    'restart-every': { type: 'string' },
     profile: { type: 'string' },
   },
 });
@@ -101,6 +105,42 @@
   );
 }
 
+/** Ends and starts all controllers again and again, and records the largest memory of each. */
+async function restartControllers(
+  service: ServiceProcesses,
+  intervalMs: number,
+  stop: AbortSignal,
+): Promise<number[]> {
+  const peaksMb = labels.map(() => 0);
+  while (!stop.aborted) {
+    await pause(intervalMs);
+    for (const node of labels.keys()) {
+      peaksMb[node] = Math.max(peaksMb[node] ?? 0, service.usage(node)?.peakMemoryMb ?? 0);
+      service.restartController(node);
+    }
+  }
+  return peaksMb;
+}
+
+async function runWithRestarts(service: ServiceProcesses, intervalMs: number): Promise<void> {
+  const stop = new AbortController();
+  const restarts = restartControllers(service, intervalMs, stop.signal);
+  await pause(Number(values.seconds) * 1000);
+  stop.abort();
+  const peaksMb = await restarts;
+  process.stdout.write(`largest memory with restarts: ${peaksMb.join(', ')} MB\n`);
+  process.stdout.write(`unexpected ends: ${JSON.stringify(service.unexpectedExits)}\n`);
+}
+
+async function measureUsage(service: ServiceProcesses): Promise<void> {
+  const before = labels.map((_, node) => service.usage(node));
+  await pause(Number(values.seconds) * 1000);
+  for (const [node, label] of labels.entries()) {
+    const [from, to] = [before[node], service.usage(node)];
+    if (from && to) printUsage(label, from, to);
+  }
+}
+
 async function main(): Promise<void> {
   const service = new ServiceProcesses({
     firstPort: Number(values['first-port']),
@@ -118,12 +158,9 @@
   const users = new Users(labels.map((_, node) => service.servingAddress(node)));
   void users.run(Number(values['jobs-per-second']), stop.signal);
   await pause(Number(values['warm-up']) * 1000);
-  const before = labels.map((_, node) => service.usage(node));
-  await pause(Number(values.seconds) * 1000);
-  for (const [node, label] of labels.entries()) {
-    const [from, to] = [before[node], service.usage(node)];
-    if (from && to) printUsage(label, from, to);
-  }
+  const restartEveryS = values['restart-every'];
+  if (restartEveryS === undefined) await measureUsage(service);
+  else await runWithRestarts(service, Number(restartEveryS) * 1000);
   process.stdout.write(`${service.workers.size} machines, users ${JSON.stringify(users.counts)}\n`);
   stop.abort();
   await service.stop(values.profile === undefined ? 'SIGKILL' : 'SIGTERM');
--- a/src/testing/service-processes.ts
+++ b/src/testing/service-processes.ts
@@ -78,6 +78,8 @@
   readonly workers = new Map<string, WorkerStandIn>();
   readonly unexpectedExits: UnexpectedExit[] = [];
   private readonly controllers: (ChildProcess | undefined)[] = [];
+  /** Processes that were ended on purpose. */
+  private readonly stopped = new Set<ChildProcess>();
   private readonly directory = mkdtempSync(join(tmpdir(), 'shalekeel-service-'));
   private readonly random = seeded(1);
   private isStopping = false;
@@ -125,12 +127,22 @@
       else process.stderr.write(text);
     });
     child.on('close', (code, signal) => {
-      if (this.isStopping) return;
+      if (this.isStopping || this.stopped.has(child)) return;
       this.controllers[node] = undefined;
       this.unexpectedExits.push({ label, reason: signal ?? `status ${code}`, outOfMemory });
     });
   }
 
+  /** Ends a controller without warning, and starts it again. */
+  restartController(node: number): void {
+    const child = this.controllers[node];
+    if (child) {
+      this.stopped.add(child);
+      child.kill('SIGKILL');
+    }
+    this.startController(node);
+  }
+
   isRunning(node: number): boolean {
     return this.controllers[node] !== undefined;
   }
