--- a/src/testing/malformed-gate.ts
+++ b/src/testing/malformed-gate.ts
@@ -11,12 +11,11 @@
 import { malformedBodies, randomMessage } from './malformed-messages.js';
 import { post } from './raw-request.js';
 import { seeded } from './seeded.js';
-import { ServiceProcesses } from './service-processes.js';
+import { ServiceProcesses, smallDeployment, smallDeploymentMemoryMb } from './service-processes.js';
 import { submission } from './submission.js';
 import { testClient } from './test-client.js';
 import { labels } from './three-controllers.js';
 
-const memoryQuotaMb = 242;
 const malformedPerS = 40;
 const goodJobIntervalMs = 500;
 /** The time that users allow for a job whose task runs for a fraction of a second. */
@@ -61,20 +60,7 @@
 
   constructor(private readonly options: GateOptions) {
     this.random = seeded(options.seed);
-    this.service = new ServiceProcesses({
-      firstPort: options.firstPort,
-      heartbeatIntervalMs: 500,
-      workerLeaseMs: 3000,
-      fetchMs: 50,
-      taskMs: (random) => 200 + 300 * random(),
-      storeLimits: {},
-      cloudCapacity: 4,
-      changeSettings: (settings) => {
-        settings['workers'] = { report_s: 0.5, lease_s: 3, cancel_s: 8 };
-        settings['quota'] = { cores: 0.34, mem_mb: memoryQuotaMb, max_sockets: 1800 };
-      },
-      onLog: () => undefined,
-    });
+    this.service = new ServiceProcesses(smallDeployment(options.firstPort));
     this.users = labels.map((_, node) => testClient(this.service.servingAddress(node), 20));
   }
 
@@ -170,7 +156,7 @@
     for (const [node, label] of labels.entries()) {
       const peakMb = this.service.usage(node)?.peakMemoryMb ?? 0;
       this.result.peakMemoryMb = Math.max(this.result.peakMemoryMb, peakMb);
-      if (peakMb > memoryQuotaMb) this.addProblem(`${label} used ${peakMb} MB`);
+      if (peakMb > smallDeploymentMemoryMb) this.addProblem(`${label} used ${peakMb} MB`);
     }
   }
 
--- a/src/testing/service-processes.ts
+++ b/src/testing/service-processes.ts
@@ -61,6 +61,30 @@
   onLog?: (label: string, text: string) => void;
 }
 
+/** The memory quota of the controllers of a small deployment, in MB. */
+export const smallDeploymentMemoryMb = 242;
+
+/** Options of a deployment of a few machines, on which tasks take some 300 ms. */
+export function smallDeployment(
+  firstPort: number,
+  onLog: ServiceProcessesOptions['onLog'] = () => undefined,
+): ServiceProcessesOptions {
+  return {
+    firstPort,
+    heartbeatIntervalMs: 500,
+    workerLeaseMs: 3000,
+    fetchMs: 50,
+    taskMs: (random) => 200 + 200 * random(),
+    storeLimits: {},
+    cloudCapacity: 4,
+    changeSettings: (settings) => {
+      settings['workers'] = { report_s: 0.5, lease_s: 3, cancel_s: 8 };
+      settings['quota'] = { cores: 0.34, mem_mb: smallDeploymentMemoryMb, max_sockets: 1800 };
+    },
+    onLog,
+  };
+}
+
 /** A controller process that has ended although nobody stopped it. */
 export interface UnexpectedExit {
   label: string;
