Take the line about the previous process out again

With controllers that were restarted every 8 s under load, the line `restarted` appeared once in some twenty restarts: a controller writes its alive key before its replica shows the one of its predecessor. The lines `stop` and `lease-renewed` (reason new-incarnation) answer the question, so the unreliable line goes; the runbook names them.

--- a/src/leadership/membership.ts
+++ b/src/leadership/membership.ts
@@ -61,7 +61,6 @@
   private currentLeaseId: number | undefined;
   private resignedUntil = -Infinity;
   private isAnnouncing = false;
-  private hasReadAliveKey = false;
 
   constructor(private readonly ports: MembershipPorts) {}
 
@@ -167,26 +166,10 @@
     const { replica, label, incarnation } = this.ports;
     if (!replica.ready || this.isAnnouncing) return;
     const alive = parseAlive(replica.get(aliveKey(label))?.value);
-    if (alive) this.logPreviousIncarnation(alive.incarnation);
     if (alive?.incarnation !== incarnation) this.announceAlive(leaseId);
     this.announceFormat();
   }
 
-  /**
-   * Logs at the first call if the alive key still names an earlier process. Its lease has not ended, so the
-   * process ended less than the time to live of the lease ago.
-   */
-  private logPreviousIncarnation(recordedIncarnation: string): void {
-    const { log, incarnation } = this.ports;
-    const isFirstCall = !this.hasReadAliveKey;
-    this.hasReadAliveKey = true;
-    if (!isFirstCall || recordedIncarnation === incarnation) return;
-    log.info(
-      { event: 'restarted', previousIncarnation: recordedIncarnation },
-      'the previous process of this controller ended shortly before the start of this one',
-    );
-  }
-
   /**
    * Writes the alive key without waiting for the commit. `isAnnouncing` is true while the commit is in
    * flight.
