Collect received bytes in one buffer, whatever parts they arrive in

A body or reply was kept as a list of its chunks, or joined anew with each chunk, and its limit counted only the bytes. A sender that cuts 65,000 bytes into chunks of one byte made the controller keep as many buffers, or copy 2 GB.

Fix: ReceiveBuffer, which the peer links already had, grows by doubling and serves all paths that collect bytes: request bodies (both request paths now share readRequestBody), replies of the state service and the cloud, links.

--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -12,12 +12,12 @@
 import {
   type FastPathRoute,
   handleFastPath,
-  maxBodyBytes,
   type Reply,
   send,
   tooLargeReply,
   unavailableReply,
 } from './replies.js';
+import { BodyTooLargeError, readRequestBody } from './request-body.js';
 
 /** Handles a request that Node's server has received, including any failure to serve it. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -121,14 +121,11 @@
     handleFastPath({ route, bytes: undefined, socket, answer }, options);
     return;
   }
-  let bytes: Buffer | undefined;
-  request.on('data', (chunk: Buffer) => {
-    bytes = bytes ? Buffer.concat([bytes, chunk]) : chunk;
-    if (bytes.length <= maxBodyBytes) return;
-    request.pause();
-    answer(tooLargeReply);
-  });
-  request.on('end', () => handleFastPath({ route, bytes, socket, answer }, options));
-  // If the connection fails, the heartbeat on it is lost. The worker sends another heartbeat.
-  request.on('error', () => undefined);
+  readRequestBody(request).then(
+    (bytes) => handleFastPath({ route, bytes, socket, answer }, options),
+    (error: unknown) => {
+      // If the connection fails, the heartbeat on it is lost. The worker sends another heartbeat.
+      if (error instanceof BodyTooLargeError) answer(tooLargeReply);
+    },
+  );
 }
--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -6,6 +6,7 @@
 import type { DecodeLimits } from '../wire/message-scanner.js';
 import { onAbort } from './abort-callbacks.js';
 import { nextEventLoopIteration } from './event-loop.js';
+import { ReceiveBuffer } from './receive-buffer.js';
 import type { OnRefusal, RefusalSource } from './refusals.js';
 import { parseSocketAddress } from './socket-address.js';
 
@@ -173,18 +174,16 @@
  */
 function readBody(response: IncomingMessage, maxBytes: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const received = new ReceiveBuffer();
     response.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      if (size <= maxBytes) return;
+      received.append(chunk);
+      if (received.length <= maxBytes) return;
       reject(new ExchangeError('too-large'));
       response.destroy();
     });
     response.on('error', reject);
     response.on('aborted', () => reject(new ExchangeError('connection-lost')));
-    response.on('end', () => resolve(Buffer.concat(chunks)));
+    response.on('end', () => resolve(received.bytes));
   });
 }
 
--- a/src/base/user-handler.ts
+++ b/src/base/user-handler.ts
@@ -3,7 +3,6 @@
  * takes most of the processor time that the start of the process needs.
  */
 import type { IncomingMessage } from 'node:http';
-import type { Readable } from 'node:stream';
 
 import Koa from 'koa';
 
@@ -14,61 +13,18 @@
   decodeBody,
   type FastPathRoute,
   malformedReply,
-  maxBodyBytes,
   type Reply,
   type Route,
   send,
   tooLargeReply,
   unavailableReply,
 } from './replies.js';
+import { BodyTooLargeError, readRequestBody } from './request-body.js';
 import { senderOf } from './socket-address.js';
 
-/** A request body is larger than `maxBodyBytes`. */
-class BodyTooLargeError extends Error {
-  constructor() {
-    super(`request body exceeds ${maxBodyBytes} bytes`);
-    this.name = 'BodyTooLargeError';
-  }
-}
-
-/** The client closed the connection before the request was complete. */
-class RequestAbortedError extends Error {
-  constructor() {
-    super('connection closed before the request was complete');
-    this.name = 'RequestAbortedError';
-  }
-}
-
 const methodNotAllowedReply: Reply = { status: 405, body: { error: 'method not allowed' } };
 const notFoundReply: Reply = { status: 404, body: { error: 'no such path' } };
 
-/**
- * Reads the body of a request with event listeners, which cost less than an async iterator. Stops reading as
- * soon as the body is larger than `maxBodyBytes`.
- * @throws BodyTooLargeError if the body is larger than `maxBodyBytes`, RequestAbortedError if the connection
- * is closed before the end of the body.
- */
-function readBody(stream: Readable): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    stream.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBodyBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      stream.pause();
-      reject(new BodyTooLargeError());
-    });
-    stream.on('end', () => resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
-    stream.on('error', reject);
-    stream.on('close', () => {
-      if (!stream.readableEnded) reject(new RequestAbortedError());
-    });
-  });
-}
-
 async function dispatchToRoute(
   routes: Route[],
   request: IncomingMessage,
@@ -79,7 +35,7 @@
   const routesOfPath = routes.filter((route) => route.path.test(path));
   const route = routesOfPath.find((candidate) => candidate.method === method);
   if (!route) return routesOfPath.length > 0 ? methodNotAllowedReply : notFoundReply;
-  const bytes = method === 'POST' ? await readBody(request) : undefined;
+  const bytes = method === 'POST' ? await readRequestBody(request) : undefined;
   const decoded = decodeBody(bytes);
   if ('error' in decoded) {
     const { error } = decoded;
--- a/src/fault-scenarios/malformed-messages.test.ts
+++ b/src/fault-scenarios/malformed-messages.test.ts
@@ -12,7 +12,7 @@
   sparseNumericKeys,
   submissionWithInvalidText,
 } from '../testing/malformed-messages.js';
-import { post } from '../testing/raw-request.js';
+import { post, postInBytes } from '../testing/raw-request.js';
 import { ServiceProcesses, smallDeployment, smallDeploymentMemoryMb } from '../testing/service-processes.js';
 import { submission } from '../testing/submission.js';
 import { labels } from '../testing/three-controllers.js';
@@ -103,6 +103,18 @@
     assertAllServe();
   });
 
+  for (const path of ['/v2/runs', '/hello']) {
+    test(`bodies to ${path} in chunks of one byte keep the memory within the quota`, async () => {
+      const body = Buffer.alloc(60_000, 0x91);
+      const unfinished = await Promise.all(
+        Array.from({ length: 20 }, () => postInBytes(service.servingAddress(2), path, body)),
+      );
+      const statuses = await Promise.all(unfinished.map((request) => request.finish()));
+      assert.deepEqual(new Set(statuses), new Set([400]));
+      assertAllServe();
+    });
+  }
+
   test('a job that is accepted stays known when its submission is repeated with invalid text', async () => {
     const id = 'req-000601';
     await submit(0, id);
--- a/src/peers/status-decoder.ts
+++ b/src/peers/status-decoder.ts
@@ -1,40 +1,12 @@
 /** Decodes the statuses that a peer sends over a connection. */
 import { Transform, type TransformCallback } from 'node:stream';
 
+import { ReceiveBuffer } from '../base/receive-buffer.js';
 import { decode } from '../wire/codec.js';
 import { MalformedMessageError } from '../wire/message-errors.js';
 import { type DecodeLimits, MessageScanner } from '../wire/message-scanner.js';
 import { parsePeerStatus } from '../wire/peer-status.js';
 
-const initialBufferBytes = 4096;
-
-/** Collects received bytes. The time for this does not depend on the number of parts in which they arrive. */
-class ReceiveBuffer {
-  private storage = Buffer.alloc(initialBufferBytes);
-  private length = 0;
-
-  get bytes(): Buffer {
-    return this.storage.subarray(0, this.length);
-  }
-
-  append(chunk: Buffer): void {
-    const length = this.length + chunk.length;
-    if (length > this.storage.length) {
-      const larger = Buffer.alloc(Math.max(length, this.storage.length * 2));
-      this.bytes.copy(larger);
-      this.storage = larger;
-    }
-    chunk.copy(this.storage, this.length);
-    this.length = length;
-  }
-
-  /** Removes bytes at the beginning. */
-  discard(count: number): void {
-    this.storage.copyWithin(0, count, this.length);
-    this.length -= count;
-  }
-}
-
 /**
  * Reads bytes and emits the statuses in them. Ignores messages that are no statuses, because a later version
  * may send other messages. Fails with a `MalformedMessageError` if a message is malformed or exceeds a limit.
--- a/src/testing/raw-request.ts
+++ b/src/testing/raw-request.ts
@@ -1,5 +1,6 @@
 /** Sends HTTP requests with bodies of any bytes. */
 import { request } from 'node:http';
+import { createConnection } from 'node:net';
 import { decode } from '../wire/codec.js';
 
 const timeoutMs = 5000;
@@ -45,3 +46,34 @@
     await new Promise((resolve) => setTimeout(resolve, chunkPauseMs));
   }
 }
+
+/** A request whose body was sent except for its end. */
+export interface UnfinishedRequest {
+  /** Sends the end of the body. Resolves with the status, or with 0 if the connection was closed. */
+  finish: () => Promise<number>;
+}
+
+/** Sends a request whose body is cut into chunks of one byte, up to the end of the body. */
+export async function postInBytes(address: string, path: string, body: Buffer): Promise<UnfinishedRequest> {
+  const [host, port] = address.split(':');
+  const socket = createConnection({ host, port: Number(port) });
+  const status = new Promise<number>((resolve) => {
+    socket.on('error', () => resolve(0)).on('close', () => resolve(0));
+    socket.on('data', (data: Buffer) => {
+      resolve(Number(/^HTTP\/1.1 (\d+)/.exec(data.toString('latin1'))?.[1] ?? 0));
+      socket.destroy();
+    });
+  });
+  const chunks = Array.from(body, (byte) => Buffer.from([0x31, 0x0d, 0x0a, byte, 0x0d, 0x0a]));
+  const head = `POST ${path} HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n`;
+  const request = Buffer.concat([Buffer.from(head), ...chunks]);
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+    socket.write(request, resolve);
+  });
+  const finish = (): Promise<number> => {
+    socket.write('0\r\n\r\n');
+    return status;
+  };
+  return { finish };
+}
