Log every refused message by the same rule, with a path of limited length

Found on reading the change again: replies over the limit of the length and request bodies over 64 KiB were refused without a line; the path of a refused request went into the log in full, however long; a user who closed the connection within a body caused an error line with a stack, unlimited in rate, that the runbook calls a defect. An error while a status was applied would have ended the process instead of the link.

All of them go through RefusalLog now, except the closed connection, which is no defect and gets no line, as on the path of heartbeats already.

--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -18,6 +18,7 @@
   unavailableReply,
 } from './replies.js';
 import { BodyTooLargeError, readRequestBody } from './request-body.js';
+import { senderOf } from './socket-address.js';
 
 /** Handles a request that Node's server has received, including any failure to serve it. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
@@ -125,7 +126,10 @@
     (bytes) => handleFastPath({ route, bytes, socket, answer }, options),
     (error: unknown) => {
       // If the connection fails, the heartbeat on it is lost. The worker sends another heartbeat.
-      if (error instanceof BodyTooLargeError) answer(tooLargeReply);
+      if (!(error instanceof BodyTooLargeError)) return;
+      const { path } = route;
+      options.onRefusal({ source: 'worker', path, sender: senderOf(socket), error, bytes: error.bytes });
+      answer(tooLargeReply);
     },
   );
 }
--- a/src/base/http.ts
+++ b/src/base/http.ts
@@ -126,13 +126,14 @@
   private async readResponse(response: IncomingMessage, path: string): Promise<HttpResponse> {
     const { limits, decode: decodeResponse, source, onRefusal } = this.reading;
     const status = response.statusCode ?? 0;
-    const bytes = await readBody(response, limits.maxBytes);
-    if (bytes.length === 0) return { status, body: undefined };
+    const received = new ReceiveBuffer();
     try {
-      return { status, body: decodeResponse(bytes, limits) };
+      await readBody(response, received, limits.maxBytes);
+      if (received.length === 0) return { status, body: undefined };
+      return { status, body: decodeResponse(received.bytes, limits) };
     } catch (error) {
       if (!(error instanceof MalformedMessageError)) throw error;
-      onRefusal?.({ source, path, sender: this.address, error, bytes });
+      onRefusal?.({ source, path, sender: this.address, error, bytes: received.bytes });
       throw new ExchangeError(exceedsLimit(error) ? 'too-large' : 'malformed', { cause: error });
     }
   }
@@ -169,21 +170,21 @@
 }
 
 /**
- * Reads the whole body of a response.
- * @throws ExchangeError if the connection is lost before the end of the body, or the body is too large
+ * Reads the whole body of a response into a buffer.
+ * @throws ExchangeError if the connection is lost before the end of the body, MalformedMessageError if the body
+ * is larger than `maxBytes`
  */
-function readBody(response: IncomingMessage, maxBytes: number): Promise<Buffer> {
+function readBody(response: IncomingMessage, received: ReceiveBuffer, maxBytes: number): Promise<void> {
   return new Promise((resolve, reject) => {
-    const received = new ReceiveBuffer();
     response.on('data', (chunk: Buffer) => {
       received.append(chunk);
       if (received.length <= maxBytes) return;
-      reject(new ExchangeError('too-large'));
+      reject(new MalformedMessageError('too-large', maxBytes));
       response.destroy();
     });
     response.on('error', reject);
     response.on('aborted', () => reject(new ExchangeError('connection-lost')));
-    response.on('end', () => resolve(received.bytes));
+    response.on('end', () => resolve());
   });
 }
 
--- a/src/base/refusals.test.ts
+++ b/src/base/refusals.test.ts
@@ -19,6 +19,9 @@
   assert.equal(lines.length, 10);
   record({ source: 'peer', error, sender: undefined, bytes });
   assert.equal(lines.length, 11);
+  assert.equal(lines.at(-1)?.['path'], undefined);
+  record({ source: 'store', error, ...refusal, path: 'x'.repeat(10_000) });
+  assert.equal(String(lines.at(-1)?.['path']).length, 200);
   now = 1000;
   record({ source: 'user', error, ...refusal });
   const { level, time, node, msg, ...fields } = lines.at(-1) ?? {};
--- a/src/base/refusals.ts
+++ b/src/base/refusals.ts
@@ -25,6 +25,8 @@
 const maxLinesPerS = 1;
 const maxLinesAtOnce = 10;
 const loggedBytes = 16;
+/** The state service allows keys of this length; the paths of users may be longer. */
+const loggedPathChars = 200;
 
 /** The lines about the messages of one source. */
 interface SourceLines {
@@ -59,7 +61,17 @@
     const length = bytes.length;
     const firstBytes = Buffer.from(bytes.subarray(0, loggedBytes)).toString('hex');
     this.log.info(
-      { event: 'message-refused', source, path, sender, reason, offset, length, firstBytes, unlogged },
+      {
+        event: 'message-refused',
+        source,
+        path: path?.slice(0, loggedPathChars),
+        sender,
+        reason,
+        offset,
+        length,
+        firstBytes,
+        unlogged,
+      },
       'refused a malformed message; unlogged counts those refused without a line since the previous one',
     );
   }
--- a/src/base/request-body.ts
+++ b/src/base/request-body.ts
@@ -1,13 +1,15 @@
 /** Reads the bodies of requests that did not arrive in one chunk with their head. */
 import type { Readable } from 'node:stream';
 
+import { MalformedMessageError } from '../wire/message-errors.js';
 import { ReceiveBuffer } from './receive-buffer.js';
 import { maxBodyBytes } from './replies.js';
 
 /** A request body is larger than `maxBodyBytes`. */
-export class BodyTooLargeError extends Error {
-  constructor() {
-    super(`request body exceeds ${maxBodyBytes} bytes`);
+export class BodyTooLargeError extends MalformedMessageError {
+  /** @param bytes the part of the body that was received */
+  constructor(readonly bytes: Buffer) {
+    super('too-large', maxBodyBytes);
     this.name = 'BodyTooLargeError';
   }
 }
@@ -33,7 +35,7 @@
       received.append(chunk);
       if (received.length <= maxBodyBytes) return;
       stream.pause();
-      reject(new BodyTooLargeError());
+      reject(new BodyTooLargeError(received.bytes));
     });
     stream.on('end', () => resolve(received.bytes));
     stream.on('error', reject);
--- a/src/base/user-handler.ts
+++ b/src/base/user-handler.ts
@@ -3,6 +3,7 @@
  * takes most of the processor time that the start of the process needs.
  */
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 import Koa from 'koa';
 
@@ -19,7 +20,7 @@
   tooLargeReply,
   unavailableReply,
 } from './replies.js';
-import { BodyTooLargeError, readRequestBody } from './request-body.js';
+import { BodyTooLargeError, readRequestBody, RequestAbortedError } from './request-body.js';
 import { senderOf } from './socket-address.js';
 
 const methodNotAllowedReply: Reply = { status: 405, body: { error: 'method not allowed' } };
@@ -47,10 +48,25 @@
   return route.handle(decoded.body, route.path.exec(path)?.slice(1) ?? []);
 }
 
-/** Returns the reply to a failed request, and logs the error unless the body was too large. */
-function failureReply(error: unknown, path: string, log: Log): Reply {
-  // The rest of the body was not read, so the connection cannot be reused, and this reply closes it.
-  if (error instanceof BodyTooLargeError) return tooLargeReply;
+interface UserHandlerPorts {
+  log: Log;
+  /** Receives each request whose body is malformed or too large. */
+  onRefusal: OnRefusal;
+}
+
+/** Returns the reply to a failed request, and logs the failure unless the client has closed the connection. */
+function failureReply(
+  error: unknown,
+  path: string,
+  socket: Socket,
+  { log, onRefusal }: UserHandlerPorts,
+): Reply {
+  if (error instanceof BodyTooLargeError) {
+    onRefusal({ source: 'user', path, sender: senderOf(socket), error, bytes: error.bytes });
+    // The rest of the body was not read, so the connection cannot be reused, and this reply closes it.
+    return tooLargeReply;
+  }
+  if (error instanceof RequestAbortedError) return unavailableReply;
   log.error({ event: 'request-failed', path, err: error }, 'request failed; responding with status 503');
   return unavailableReply;
 }
@@ -63,7 +79,7 @@
 export function createUserHandler(
   routes: Route[],
   fastPathRoutes: FastPathRoute[],
-  { log, onRefusal }: { log: Log; onRefusal: OnRefusal },
+  ports: UserHandlerPorts,
 ): RequestHandler {
   const app = new Koa();
   app.silent = true;
@@ -72,9 +88,9 @@
     try {
       reply = fastPathRoutes.some((route) => route.path === ctx.path)
         ? methodNotAllowedReply
-        : await dispatchToRoute(routes, ctx.req, ctx.path, onRefusal);
+        : await dispatchToRoute(routes, ctx.req, ctx.path, ports.onRefusal);
     } catch (error) {
-      reply = failureReply(error, ctx.path, log);
+      reply = failureReply(error, ctx.path, ctx.req.socket, ports);
     }
     ctx.respond = false;
     send(ctx.res, reply);
--- a/src/fault-scenarios/malformed-messages.test.ts
+++ b/src/fault-scenarios/malformed-messages.test.ts
@@ -95,6 +95,19 @@
     });
   }
 
+  test('a body over 64 KiB is answered with 413 and logged', async () => {
+    for (const [path, source] of [
+      ['/v2/runs', 'user'],
+      ['/hello', 'worker'],
+    ] as const) {
+      const since = logged.length;
+      const body = Buffer.alloc(70_000, 0x91);
+      assert.equal((await post(service.servingAddress(2), path, [body])).status, 413);
+      await waitFor('the refusal is logged', () => isRefusalLogged(`"source":"${source}"`, since));
+    }
+    assertAllServe();
+  });
+
   test('many messages at once that each claim millions of entries keep the memory within the quota', async () => {
     const statuses = await Promise.all(
       Array.from({ length: 40 }, () => statusOf(2, claimedCounts.subarray(0, 5))),
--- a/src/peers/peer-links.ts
+++ b/src/peers/peer-links.ts
@@ -98,7 +98,7 @@
  * may stay open after a peer has restarted.
  */
 const maxConnectionsPerController = 4;
-/** Maximum length of a status, as a share of the memory quota. All incoming links together may reserve it. */
+/** Maximum length of a status, as a share of the memory quota. Each incoming link may keep so much. */
 const maxStatusRatio = 1 / 400;
 /** Maximum memory of a decoded status, as a share of the memory quota. */
 const maxStatusMemoryRatio = 1 / 8;
@@ -241,8 +241,16 @@
       objectMode: true,
       write: (status: PeerStatus, _encoding, done) => {
         deadline.refresh();
-        this.receive(status);
-        done();
+        try {
+          this.receive(status);
+          done();
+        } catch (error) {
+          this.ports.log.error(
+            { event: 'duty-failed', duty: 'peer-status', err: error },
+            'applying the status of a peer failed; closing the link, on which the peer connects again',
+          );
+          done(error as Error);
+        }
       },
     });
     try {
--- a/src/store/client.test.ts
+++ b/src/store/client.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'node:test';
 
 import { monotonicClock } from '../base/clock.js';
+import type { Refusal } from '../base/refusals.js';
 import { replyLimits } from '../base/reply-limits.js';
 import { submissionWithInvalidText } from '../testing/malformed-messages.js';
 import { testSettings } from '../testing/settings.js';
@@ -42,17 +43,25 @@
 });
 
 /** Starts a state service that sends these bytes as its answer to every request, and a client for it. */
-async function clientOfFixedAnswer(answer: Buffer): Promise<{ client: StoreClient; close: () => void }> {
+async function clientOfFixedAnswer(
+  answer: Buffer,
+): Promise<{ client: StoreClient; refusals: Refusal[]; close: () => void }> {
   const server = createServer((_request, response) => response.end(answer));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const { port } = server.address() as AddressInfo;
   const settings = { ...testSettings(), stateAddress: `127.0.0.1:${port}` };
-  const client = new StoreClient({ settings, clock: monotonicClock, signal: neverAborted });
+  const refusals: Refusal[] = [];
+  const client = new StoreClient({
+    settings,
+    clock: monotonicClock,
+    signal: neverAborted,
+    onRefusal: (refusal) => refusals.push(refusal),
+  });
   const close = (): void => {
     server.closeAllConnections();
     server.close();
   };
-  return { client, close };
+  return { client, refusals, close };
 }
 
 test('an answer with a stored record whose text is not valid UTF-8 is read', async () => {
@@ -74,9 +83,16 @@
 
 test('a watch whose answer is larger than the heap allows asks for all keys to be read again', async () => {
   const { maxBytes } = replyLimits();
-  const { client, close } = await clientOfFixedAnswer(Buffer.alloc(maxBytes + 1, 0xc0));
+  const { client, refusals, close } = await clientOfFixedAnswer(Buffer.alloc(maxBytes + 1, 0xc0));
   assert.equal(await client.watch(1), undefined);
   await assert.rejects(client.listPage('', '', 500), StoreConnectionError);
+  assert.deepEqual(
+    refusals.map(({ source, error }) => [source, error.reason]),
+    [
+      ['store', 'too-large'],
+      ['store', 'too-large'],
+    ],
+  );
   close();
 });
 
