Limit the memory for all unfinished request bodies together

Fix: the bytes of all unfinished bodies have a share of the memory quota. If they exceed it, the oldest body is given up with 503 and Retry-After, so that senders who never finish keep nobody else from being served. It is logged like every other body that is not read.

--- a/src/base/direct-connections.test.ts
+++ b/src/base/direct-connections.test.ts
@@ -9,6 +9,7 @@
 import { type RequestHandler, serveHttp } from './http-server.js';
 import { silentLog } from './log.js';
 import { type FastPathRoute, type Reply, send } from './replies.js';
+import { UnfinishedBodies } from './request-body.js';
 
 const port = 26_100;
 
@@ -84,6 +85,7 @@
     loadHandler,
     log: silentLog,
     onRefusal: () => undefined,
+    unfinishedBodies: new UnfinishedBodies(1_000_000),
     host: '127.0.0.1',
     port,
   };
@@ -168,6 +170,7 @@
     fastPathRoutes: [heartbeat, health],
     log: silentLog,
     onRefusal: () => undefined,
+    unfinishedBodies: new UnfinishedBodies(1_000_000),
     load,
   };
   const loadHandler = (): Promise<RequestHandler> =>
--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -9,15 +9,8 @@
 import { DirectConnections } from './direct-connections.js';
 import type { Log } from './log.js';
 import type { OnRefusal } from './refusals.js';
-import {
-  type FastPathRoute,
-  handleFastPath,
-  type Reply,
-  send,
-  tooLargeReply,
-  unavailableReply,
-} from './replies.js';
-import { BodyTooLargeError, readRequestBody } from './request-body.js';
+import { type FastPathRoute, handleFastPath, type Reply, send, unavailableReply } from './replies.js';
+import { readRequestBody, type UnfinishedBodies, UnreadBodyError } from './request-body.js';
 import { senderOf } from './socket-address.js';
 
 /** Handles a request that Node's server has received, including any failure to serve it. */
@@ -34,6 +27,8 @@
   log: Log;
   /** Receives each request of a fast-path route whose body is malformed. */
   onRefusal: OnRefusal;
+  /** Limits the memory for request bodies that have not arrived completely. */
+  unfinishedBodies: UnfinishedBodies;
   host: string;
   port: number;
   clock: Clock;
@@ -122,14 +117,14 @@
     handleFastPath({ route, bytes: undefined, socket, answer }, options);
     return;
   }
-  readRequestBody(request).then(
+  readRequestBody(request, options.unfinishedBodies).then(
     (bytes) => handleFastPath({ route, bytes, socket, answer }, options),
     (error: unknown) => {
       // If the connection fails, the heartbeat on it is lost. The worker sends another heartbeat.
-      if (!(error instanceof BodyTooLargeError)) return;
+      if (!(error instanceof UnreadBodyError)) return;
       const { path } = route;
       options.onRefusal({ source: 'worker', path, sender: senderOf(socket), error, bytes: error.bytes });
-      answer(tooLargeReply);
+      answer(error.reply);
     },
   );
 }
--- a/src/base/user-handler.ts
+++ b/src/base/user-handler.ts
@@ -17,26 +17,38 @@
   type Reply,
   type Route,
   send,
-  tooLargeReply,
   unavailableReply,
 } from './replies.js';
-import { BodyTooLargeError, readRequestBody, RequestAbortedError } from './request-body.js';
+import {
+  readRequestBody,
+  RequestAbortedError,
+  type UnfinishedBodies,
+  UnreadBodyError,
+} from './request-body.js';
 import { senderOf } from './socket-address.js';
 
 const methodNotAllowedReply: Reply = { status: 405, body: { error: 'method not allowed' } };
 const notFoundReply: Reply = { status: 404, body: { error: 'no such path' } };
 
+interface UserHandlerPorts {
+  log: Log;
+  /** Receives each request whose body is malformed or too large. */
+  onRefusal: OnRefusal;
+  /** Limits the memory for request bodies that have not arrived completely. */
+  unfinishedBodies: UnfinishedBodies;
+}
+
 async function dispatchToRoute(
   routes: Route[],
   request: IncomingMessage,
   path: string,
-  onRefusal: OnRefusal,
+  { onRefusal, unfinishedBodies }: UserHandlerPorts,
 ): Promise<Reply> {
   const { method, socket } = request;
   const routesOfPath = routes.filter((route) => route.path.test(path));
   const route = routesOfPath.find((candidate) => candidate.method === method);
   if (!route) return routesOfPath.length > 0 ? methodNotAllowedReply : notFoundReply;
-  const bytes = method === 'POST' ? await readRequestBody(request) : undefined;
+  const bytes = method === 'POST' ? await readRequestBody(request, unfinishedBodies) : undefined;
   const decoded = decodeBody(bytes);
   if ('error' in decoded) {
     const { error } = decoded;
@@ -48,12 +60,6 @@
   return route.handle(decoded.body, route.path.exec(path)?.slice(1) ?? []);
 }
 
-interface UserHandlerPorts {
-  log: Log;
-  /** Receives each request whose body is malformed or too large. */
-  onRefusal: OnRefusal;
-}
-
 /** Returns the reply to a failed request, and logs the failure unless the client has closed the connection. */
 function failureReply(
   error: unknown,
@@ -61,10 +67,9 @@
   socket: Socket,
   { log, onRefusal }: UserHandlerPorts,
 ): Reply {
-  if (error instanceof BodyTooLargeError) {
+  if (error instanceof UnreadBodyError) {
     onRefusal({ source: 'user', path, sender: senderOf(socket), error, bytes: error.bytes });
-    // The rest of the body was not read, so the connection cannot be reused, and this reply closes it.
-    return tooLargeReply;
+    return error.reply;
   }
   if (error instanceof RequestAbortedError) return unavailableReply;
   log.error({ event: 'request-failed', path, err: error }, 'request failed; responding with status 503');
@@ -88,7 +93,7 @@
     try {
       reply = fastPathRoutes.some((route) => route.path === ctx.path)
         ? methodNotAllowedReply
-        : await dispatchToRoute(routes, ctx.req, ctx.path, ports.onRefusal);
+        : await dispatchToRoute(routes, ctx.req, ctx.path, ports);
     } catch (error) {
       reply = failureReply(error, ctx.path, ctx.req.socket, ports);
     }
--- a/src/controller/http-service.ts
+++ b/src/controller/http-service.ts
@@ -7,6 +7,7 @@
 import { type RequestHandler, serveHttp } from '../base/http-server.js';
 import type { Log } from '../base/log.js';
 import type { OnRefusal } from '../base/refusals.js';
+import { UnfinishedBodies } from '../base/request-body.js';
 import { parseSocketAddress } from '../base/socket-address.js';
 import type { BlockRegistry } from '../blocks/block-registry.js';
 import type { OwnedBlocks } from '../blocks/owned-blocks.js';
@@ -43,6 +44,9 @@
 
 /** Maximum number of accepted connections, as a fraction of the maximum number of sockets of the process. */
 const requestSocketsRatio = 0.8;
+/** Maximum memory for request bodies that have not arrived completely, as a share of the memory quota. */
+const unfinishedBodiesRatio = 1 / 32;
+const bytesPerMb = 2 ** 20;
 /**
  * In one iteration of the event loop, heartbeats are served for at most this fraction of a heartbeat
  * interval. After that, other sockets are served.
@@ -72,10 +76,13 @@
   /** Serves requests until the signal fires. Throws if the process cannot listen on the port. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log, onRefusal, settings, intake } = this.ports;
+    const unfinishedBodies = new UnfinishedBodies(
+      settings.quota.memoryMb * bytesPerMb * unfinishedBodiesRatio,
+    );
     const fastPathRoutes = [this.heartbeatHandler.route, intake.health];
     const loadHandler = async (): Promise<RequestHandler> => {
       const { createUserHandler } = await import('../base/user-handler.js');
-      return createUserHandler(intake.routes, fastPathRoutes, { log, onRefusal });
+      return createUserHandler(intake.routes, fastPathRoutes, { log, onRefusal, unfinishedBodies });
     };
     const options = {
       ...parseSocketAddress(settings.listenAddress),
@@ -83,6 +90,7 @@
       loadHandler,
       log,
       onRefusal,
+      unfinishedBodies,
       clock,
       load: this.load,
       idleTimeoutMs: settings.workerLeaseMs * idleTimeoutLeases,
--- a/src/wire/message-errors.ts
+++ b/src/wire/message-errors.ts
@@ -8,6 +8,8 @@
   | 'trailing-bytes'
   /** The message is larger than its receiver accepts. */
   | 'too-large'
+  /** The message did not end, and was given up in favour of later ones. */
+  | 'abandoned'
   /** Lists and maps are nested too deep. */
   | 'too-deep'
   /** Decoded, the message would need more memory than its length allows, or than its receiver accepts. */
