Leave out state that follows from other state, and a second pause

The scanner is within a message exactly while values are pending. The gate uses the pause that the other tests share. No change of behaviour; the tests of the scanner and of the links pass.

--- a/src/testing/malformed-gate.ts
+++ b/src/testing/malformed-gate.ts
@@ -8,6 +8,7 @@
 import { pathToFileURL } from 'node:url';
 import { parseArgs } from 'node:util';
 import type { HttpClient } from '../base/http.js';
+import { pause } from './cluster.js';
 import { malformedBodies, randomMessage } from './malformed-messages.js';
 import { post } from './raw-request.js';
 import { seeded } from './seeded.js';
@@ -40,10 +41,6 @@
   peakMemoryMb: number;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** One run of the gate. */
 class Gate {
   private readonly service: ServiceProcesses;
--- a/src/wire/message-scanner.ts
+++ b/src/wire/message-scanner.ts
@@ -73,14 +73,13 @@
   /** Of each open map: the largest of its keys that is the index of an array, or -1. */
   private readonly largestIndex = new Int32Array(maxNestingDepth);
   private depth = 0;
-  /** Sum of `unreadValues`. Each of these values takes at least one byte. */
+  /** Sum of `unreadValues`, or 0 between two messages. Each of these values takes at least one byte. */
   private pendingValues = 0;
   private memoryBytes = 0;
   /** Memory for numeric keys beyond the memory that the length of their entries allows. */
   private sparseKeysMemory = 0;
   /** Number of bytes of the present message that were scanned. */
   private scannedBytes = 0;
-  private isInMessage = false;
 
   /**
    * @param tolerance is given for messages of a trusted sender: text that is not valid UTF-8 and numeric keys
@@ -120,7 +119,7 @@
 
   /** `overflow`: the reason why a message that cannot end within `maxBytes` is refused. */
   private scanUntil(bytes: Buffer, maxBytes: number, overflow: MalformedReason): number | undefined {
-    if (!this.isInMessage) this.begin();
+    if (this.pendingValues === 0) this.begin();
     const { token } = this;
     while (this.pendingValues > 0) {
       if (this.scannedBytes + this.pendingValues > maxBytes) this.refuse(overflow, this.scannedBytes);
@@ -135,7 +134,6 @@
 
   private begin(): void {
     this.reset();
-    this.isInMessage = true;
     this.pendingValues = 1;
   }
 
@@ -145,7 +143,6 @@
     this.memoryBytes = 0;
     this.sparseKeysMemory = 0;
     this.scannedBytes = 0;
-    this.isInMessage = false;
   }
 
   private acceptToken(bytes: Buffer): void {
